--- /dev/null
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/EntryClient.java
@@ -0,0 +1,85 @@
+package org.hyssopport.console;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import org.hyssopport.policy.Json;
+
+/** Calls an entry instance on behalf of the command line. */
+final class EntryClient {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration TIMEOUT = Duration.ofMinutes(2);
+
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .build();
+  private final String entry;
+
+  private EntryClient(String entry) {
+    this.entry = entry;
+  }
+
+  static EntryClient at(String entry) {
+    return new EntryClient(entry);
+  }
+
+  /** Returns the reply, or nothing if the instance can't be reached. */
+  Optional<Reply> get(String path) {
+    return send(HttpRequest.newBuilder(uri(path)).GET());
+  }
+
+  /** Returns the reply, or nothing if the instance can't be reached. */
+  Optional<Reply> post(String path, String body) {
+    return send(
+        HttpRequest.newBuilder(uri(path))
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(body)));
+  }
+
+  private URI uri(String path) {
+    return URI.create("http://" + entry + path);
+  }
+
+  private Optional<Reply> send(HttpRequest.Builder request) {
+    try {
+      HttpResponse<String> response =
+          client.send(request.timeout(TIMEOUT).build(), HttpResponse.BodyHandlers.ofString());
+      return Optional.of(new Reply(response.statusCode(), response.body()));
+    } catch (IOException e) {
+      return Optional.empty();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Optional.empty();
+    }
+  }
+
+  /**
+   * A reply.
+   *
+   * @param status the HTTP status
+   * @param body the body
+   */
+  record Reply(int status, String body) {
+
+    JsonNode json() {
+      try {
+        return Json.mapper().readTree(body);
+      } catch (JsonProcessingException e) {
+        return Json.mapper().createObjectNode();
+      }
+    }
+
+    boolean isOk() {
+      return status < 300;
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/Hyssopport.java
@@ -0,0 +1,163 @@
+package org.hyssopport.console;
+
+import java.io.PrintStream;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/**
+ * The program's command line.
+ *
+ * @since 0.1
+ * @see ExitCode
+ */
+public final class Hyssopport {
+
+  private static final String VERSION = "0.1.0";
+  private static final String COMMAND = "command";
+  private static final String EXIT_CODES =
+      "exit codes: 0 done, 1 refused or failed, 2 wrong flags or settings, "
+          + "3 no entry instance answered, 4 outcome not known; "
+          + "every flag can come from HYSSOPPORT_ and its name in capitals";
+
+  private final Environment environment;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  private Hyssopport(Environment environment, PrintStream out, PrintStream err) {
+    this.environment = environment;
+    this.out = out;
+    this.err = err;
+  }
+
+  /** Runs the program. */
+  public static void main(String[] arguments) {
+    System.setProperty(
+        "flogger.backend_factory",
+        "com.google.common.flogger.backend.slf4j.Slf4jBackendFactory#getInstance");
+    ExitCode code = run(arguments, System.getenv(), System.out, System.err);
+    System.exit(code.code());
+  }
+
+  /**
+   * Runs one command.
+   *
+   * @param arguments the command line
+   * @param variables the environment variables
+   * @param out where results go
+   * @param err where faults go
+   * @return the exit code
+   */
+  public static ExitCode run(
+      String[] arguments, Map<String, String> variables, PrintStream out, PrintStream err) {
+    Hyssopport program = new Hyssopport(Environment.of(variables), out, err);
+    ArgumentParser parser = program.parser();
+    try {
+      return program.execute(parser.parseArgs(arguments));
+    } catch (HelpScreenException e) {
+      return ExitCode.OK;
+    } catch (ArgumentParserException e) {
+      err.println(e.getMessage());
+      err.println("run hyssopport --help for the commands");
+      return ExitCode.USAGE;
+    }
+  }
+
+  private ArgumentParser parser() {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("hyssopport")
+            .build()
+            .version("hyssopport " + VERSION)
+            .description("Schedules unlike work onto one shared cluster.")
+            .epilog(EXIT_CODES);
+    parser.addArgument("--version").action(Arguments.version());
+    Subparsers commands = parser.addSubparsers().dest(COMMAND).metavar("COMMAND");
+    ServeCommand.describe(commands, environment);
+    describeConfiguration(commands);
+    Subparser submit = client(commands, "submit", "send a request or a job from a JSON file");
+    submit.addArgument("file").help("the JSON file, or - for standard input");
+    describeJob(commands);
+    client(commands, "status", "show the state of an entry instance");
+    describeTimeline(commands);
+    return parser;
+  }
+
+  private void describeConfiguration(Subparsers commands) {
+    Subparsers inner =
+        commands
+            .addParser("configuration")
+            .help("check, publish or show the configuration")
+            .addSubparsers()
+            .dest("subcommand")
+            .metavar("SUBCOMMAND");
+    Subparser check = inner.addParser("check").help("check a printed configuration");
+    check.addArgument("file").help("the file, or - for standard input");
+    Subparser publish = client(inner, "publish", "publish a printed configuration");
+    publish.addArgument("file").help("the file, or - for standard input");
+    environment.optional(
+        publish.addArgument("--base").help("the version that the change was made on"),
+        "--base",
+        "-1");
+    client(inner, "show", "show the configuration in force");
+  }
+
+  private void describeJob(Subparsers commands) {
+    Subparsers inner =
+        commands
+            .addParser("job")
+            .help("show, list or cancel jobs")
+            .addSubparsers()
+            .dest("subcommand")
+            .metavar("SUBCOMMAND");
+    client(inner, "show", "show one job").addArgument("id").help("the job's id");
+    client(inner, "list", "list all known jobs");
+    client(inner, "cancel", "cancel jobs").addArgument("id").nargs("+").help("the jobs' ids");
+  }
+
+  private void describeTimeline(Subparsers commands) {
+    Subparser timeline =
+        commands.addParser("timeline").help("gather the events of all instances in order");
+    environment.required(
+        timeline.addArgument("--entries").help("host:port of every instance, with commas"),
+        "--entries");
+    timeline
+        .addArgument("--format")
+        .choices("text", "json", "html")
+        .setDefault("text")
+        .help("the form of the view");
+  }
+
+  private Subparser client(Subparsers subparsers, String name, String help) {
+    Subparser parser = subparsers.addParser(name).help(help);
+    environment.required(
+        parser.addArgument("--entry").help("host:port of an entry instance"), "--entry");
+    parser.addArgument("--format").choices("text", "json").setDefault("text");
+    return parser;
+  }
+
+  private ExitCode execute(Namespace flags) {
+    boolean json = "json".equals(flags.getString("format"));
+    ClientCommands client = new ClientCommands(flags, new Output(out, err, json));
+    String subcommand = flags.getString("subcommand");
+    String command = flags.getString(COMMAND);
+    return switch (subcommand == null ? command : command + " " + subcommand) {
+      case ServeCommand.NAME -> ServeCommand.run(flags, err);
+      case "configuration check" -> client.checkConfiguration();
+      case "configuration publish" -> client.publishConfiguration();
+      case "configuration show" -> client.showConfiguration();
+      case "submit" -> client.submit();
+      case "job show" -> client.showJob();
+      case "job list" -> client.listJobs();
+      case "job cancel" -> client.cancelJobs();
+      case "status" -> client.status();
+      case "timeline" -> TimelineCommand.run(flags, out, err);
+      default -> throw new IllegalStateException("command " + command);
+    };
+  }
+}
--- /dev/null
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/Output.java
@@ -0,0 +1,57 @@
+package org.hyssopport.console;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+import java.util.Optional;
+
+/** Prints replies for people or for scripts. */
+final class Output {
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final boolean json;
+
+  Output(PrintStream out, PrintStream err, boolean json) {
+    this.out = out;
+    this.err = err;
+    this.json = json;
+  }
+
+  PrintStream out() {
+    return out;
+  }
+
+  PrintStream err() {
+    return err;
+  }
+
+  /** Prints a reply and returns the exit code for it. */
+  ExitCode print(Optional<EntryClient.Reply> reply, TextForm form) {
+    if (reply.isEmpty()) {
+      err.println("the entry instance does not answer; check --entry");
+      return ExitCode.UNREACHABLE;
+    }
+    EntryClient.Reply known = reply.get();
+    if (json) {
+      out.println(known.body());
+    } else if (known.json().has("findings")) {
+      printFindings(known.json().get("findings"));
+    } else {
+      form.print(known.json(), out);
+    }
+    return ExitCode.ofStatus(known.status());
+  }
+
+  private void printFindings(JsonNode findings) {
+    for (JsonNode finding : findings) {
+      String place = finding.path("place").asText();
+      String message = finding.path("message").asText();
+      err.println(place.isEmpty() ? message : place + ": " + message);
+    }
+  }
+
+  /** Prints a body for people. */
+  interface TextForm {
+    void print(JsonNode body, PrintStream out);
+  }
+}
--- /dev/null
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/ServeCommand.java
@@ -0,0 +1,147 @@
+package org.hyssopport.console;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.hyssopport.engine.EngineSettings;
+import org.hyssopport.launcher.EntryInstance;
+import org.hyssopport.launcher.ServeSettings;
+import org.hyssopport.policy.Finding;
+
+/** Runs an entry instance until it is told to leave. */
+final class ServeCommand {
+
+  static final String NAME = "serve";
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  private ServeCommand() {}
+
+  static void describe(Subparsers subparsers, Environment environment) {
+    Subparser parser = subparsers.addParser(NAME).help("run an entry instance").defaultHelp(true);
+    required(parser, environment, "--name", "the instance's name in the live list");
+    required(parser, environment, "--failure-domain", "the instance's failure domain");
+    required(parser, environment, "--failure-domains", "all failure domains, with commas");
+    required(parser, environment, "--listen", "host:port for callers and operators");
+    required(parser, environment, "--peer-listen", "host:port for peers");
+    required(parser, environment, "--log", "host:port of the platform's log");
+    required(parser, environment, "--live-list", "host:port of the platform's live list");
+    optional(parser, environment, "--appends-per-second", "30", "most appends to the log");
+    optional(parser, environment, "--drain-limit", "PT30S", "longest drain on SIGTERM");
+    optional(parser, environment, "--horizon", "PT60S", "how far a task runs without the log");
+    optional(parser, environment, "--adoption-delay", "PT10S", "wait before streams are adopted");
+    optional(parser, environment, "--retention", "PT6H", "how long the log keeps records");
+    optional(parser, environment, "--fault-switch", "false", "let tests cut the peer link");
+  }
+
+  private static void required(
+      Subparser parser, Environment environment, String flag, String help) {
+    environment.required(parser.addArgument(flag).help(help), flag);
+  }
+
+  private static void optional(
+      Subparser parser, Environment environment, String flag, String fallback, String help) {
+    environment.optional(parser.addArgument(flag).help(help), flag, fallback);
+  }
+
+  static ExitCode run(Namespace flags, PrintStream err) {
+    List<Finding> findings = new ArrayList<>();
+    ServeSettings settings = settingsOf(flags, findings);
+    findings.addAll(settings.check());
+    if (!findings.isEmpty()) {
+      findings.forEach(err::println);
+      return ExitCode.USAGE;
+    }
+    try {
+      EntryInstance instance = EntryInstance.start(settings);
+      return awaitEnd(instance);
+    } catch (IOException e) {
+      err.println(
+          "--listen "
+              + settings.listen()
+              + " or --peer-listen "
+              + settings.peerListen()
+              + " can't be taken: "
+              + e.getMessage());
+      return ExitCode.USAGE;
+    }
+  }
+
+  private static ServeSettings settingsOf(Namespace flags, List<Finding> findings) {
+    EngineSettings engine =
+        EngineSettings.standard()
+            .lasting(
+                duration(flags, "horizon", findings),
+                duration(flags, "adoption_delay", findings),
+                duration(flags, "retention", findings));
+    return new ServeSettings(
+        flags.getString("name"),
+        flags.getString("failure_domain"),
+        Arrays.asList(flags.getString("failure_domains").split(",", -1)),
+        flags.getString("listen"),
+        flags.getString("peer_listen"),
+        flags.getString("log"),
+        flags.getString("live_list"),
+        number(flags, "appends_per_second", findings),
+        duration(flags, "drain_limit", findings),
+        truth(flags, "fault_switch", findings),
+        engine);
+  }
+
+  private static String flagOf(String field) {
+    return "--" + field.replace('_', '-');
+  }
+
+  private static Duration duration(Namespace flags, String field, List<Finding> findings) {
+    String text = flags.getString(field);
+    try {
+      return Duration.parse(text);
+    } catch (DateTimeException e) {
+      findings.add(new Finding(flagOf(field), "must be a duration such as PT30S, but is " + text));
+      return Duration.ofHours(1);
+    }
+  }
+
+  private static int number(Namespace flags, String field, List<Finding> findings) {
+    String text = flags.getString(field);
+    if (text.matches("\\d{1,6}")) {
+      return Integer.parseInt(text);
+    }
+    findings.add(new Finding(flagOf(field), "must be a whole number, but is " + text));
+    return 1;
+  }
+
+  private static boolean truth(Namespace flags, String field, List<Finding> findings) {
+    String text = flags.getString(field);
+    if (!text.equals("true") && !text.equals("false")) {
+      findings.add(new Finding(flagOf(field), "must be true or false, but is " + text));
+    }
+    return text.equals("true");
+  }
+
+  private static ExitCode awaitEnd(EntryInstance instance) {
+    Thread drain =
+        new Thread(
+            () -> {
+              boolean finished = instance.drain();
+              Runtime.getRuntime().halt(finished ? ExitCode.OK.code() : ExitCode.REFUSED.code());
+            },
+            "drain");
+    Runtime.getRuntime().addShutdownHook(drain);
+    try {
+      Thread.currentThread().join();
+    } catch (InterruptedException e) {
+      LOGGER.atInfo().log("interrupted; leaving");
+      Thread.currentThread().interrupt();
+    }
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/TimelineCommand.java
@@ -0,0 +1,70 @@
+package org.hyssopport.console;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.hyssopport.launcher.TimelineEvent;
+import org.hyssopport.policy.Json;
+
+/** Gathers the events of all processes into one ordered view. */
+final class TimelineCommand {
+
+  private TimelineCommand() {}
+
+  static ExitCode run(Namespace flags, PrintStream out, PrintStream err) {
+    List<TimelineEvent> events = new ArrayList<>();
+    boolean anyReached = false;
+    for (String entry : flags.getString("entries").split(",", -1)) {
+      Optional<EntryClient.Reply> reply = EntryClient.at(entry).get("/timeline");
+      if (reply.isEmpty() || !reply.get().isOk()) {
+        err.println("no events from " + entry);
+        continue;
+      }
+      anyReached = true;
+      for (JsonNode node : reply.get().json()) {
+        events.add(read(node));
+      }
+    }
+    events.sort(
+        Comparator.comparing(TimelineEvent::at)
+            .thenComparing(TimelineEvent::process)
+            .thenComparing(TimelineEvent::sequence));
+    print(events, flags.getString("format"), out);
+    return anyReached ? ExitCode.OK : ExitCode.UNREACHABLE;
+  }
+
+  private static TimelineEvent read(JsonNode node) {
+    try {
+      return Json.mapper().treeToValue(node, TimelineEvent.class);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("event can't be read: " + node, e);
+    }
+  }
+
+  private static void print(List<TimelineEvent> events, String format, PrintStream out) {
+    switch (format) {
+      case "json" -> events.forEach(event -> out.println(line(event)));
+      case "html" -> out.println(TimelinePage.of(events));
+      default -> events.forEach(event -> printText(event, out));
+    }
+  }
+
+  private static String line(TimelineEvent event) {
+    try {
+      return Json.mapper().writeValueAsString(event);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("event can't be written: " + event, e);
+    }
+  }
+
+  private static void printText(TimelineEvent event, PrintStream out) {
+    out.printf(
+        "%s  %-12s %-22s %s  %s%n",
+        event.at(), event.process(), event.kind(), event.subject(), event.detail());
+  }
+}
--- /dev/null
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/package-info.java
@@ -0,0 +1,2 @@
+/** The command line with all subcommands of the product. */
+package org.hyssopport.console;
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/AppendTracker.java
@@ -0,0 +1,94 @@
+package org.hyssopport.engine;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.hyssopport.engine.platform.AppendResult;
+import org.hyssopport.engine.platform.StreamName;
+import org.hyssopport.engine.work.StreamFollower.AppliedRecord;
+import org.hyssopport.engine.work.StreamRecord;
+
+/**
+ * Follows appended records until they are read back.
+ *
+ * <p>An append whose answer is lost is recognised by its record id when it is read.
+ */
+final class AppendTracker {
+
+  private final EngineContext context;
+  private final Map<String, Tracked> tracked = new HashMap<>();
+  private Instant nextSweep = Instant.EPOCH;
+
+  AppendTracker(EngineContext context) {
+    this.context = context;
+  }
+
+  /** Appends a record and tells the listener once what became of it. */
+  void append(StreamName stream, StreamRecord record, Instant deadline, Listener listener) {
+    String id = context.append(stream, record);
+    tracked.put(id, new Tracked(deadline, listener));
+  }
+
+  int size() {
+    return tracked.size();
+  }
+
+  void ended(Event.AppendEnded event) {
+    if (event.result() != AppendResult.REFUSED) {
+      return;
+    }
+    for (String id : event.recordIds()) {
+      Tracked entry = tracked.remove(id);
+      if (entry != null) {
+        entry.listener().refused();
+      }
+    }
+  }
+
+  void applied(List<AppliedRecord> records) {
+    for (AppliedRecord record : records) {
+      Tracked entry = tracked.remove(record.stored().id());
+      if (entry != null) {
+        entry.listener().applied(record.valid());
+      }
+    }
+  }
+
+  void tick() {
+    if (context.now().isBefore(nextSweep)) {
+      return;
+    }
+    nextSweep = context.now().plus(context.settings().heartbeatInterval());
+    List<String> expired =
+        tracked.entrySet().stream()
+            .filter(entry -> !context.now().isBefore(entry.getValue().deadline()))
+            .map(Map.Entry::getKey)
+            .collect(Collectors.toList());
+    for (String id : expired) {
+      tracked.remove(id).listener().expired();
+    }
+  }
+
+  /** Hears what became of one record. */
+  interface Listener {
+
+    /** The record was read back. */
+    void applied(boolean valid);
+
+    /** The log surely did not take the record. */
+    void refused();
+
+    /** The record was not read back in time; it may still be. */
+    void expired();
+  }
+
+  /**
+   * A record that was not read back yet.
+   *
+   * @param deadline how long to wait
+   * @param listener who is told
+   */
+  private record Tracked(Instant deadline, Listener listener) {}
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/AttemptKeeper.java
@@ -0,0 +1,446 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.LocalAttempt.Phase;
+import org.hyssopport.engine.WorkerLedger.Allocation;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.platform.TaskResult;
+import org.hyssopport.engine.platform.TaskView;
+import org.hyssopport.engine.platform.WorkerCall;
+import org.hyssopport.engine.platform.WorkerCall.ReadTask;
+import org.hyssopport.engine.platform.WorkerCall.StartTask;
+import org.hyssopport.engine.platform.WorkerCall.StopTask;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.platform.WorkerReply;
+import org.hyssopport.engine.work.CloseCause;
+import org.hyssopport.engine.work.Placement;
+import org.hyssopport.engine.work.StreamFollower.AppliedRecord;
+import org.hyssopport.engine.work.StreamRecord.HorizonExtended;
+import org.hyssopport.engine.work.StreamRecord.TaskClosed;
+import org.hyssopport.engine.work.StreamRecord.TasksClaimed;
+
+/**
+ * Starts, adopts, extends, stops and closes the open attempts on the workers that are held here.
+ *
+ * <p>An attempt is started only by the holder that claimed it, under the token of its claim, before
+ * its not-after deadline. Any other open attempt on a held worker is looked up there: it is adopted
+ * if it runs, and closed if it ended or if its start can no longer be accepted.
+ */
+final class AttemptKeeper implements WorkerObserver {
+
+  private static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
+  private static final Duration CLOSE_RETRY_INTERVAL = Duration.ofSeconds(2);
+  private static final Duration STOP_BEFORE_HORIZON = Duration.ofSeconds(2);
+  private static final Duration RECORDS_KEPT_BY_WORKERS = Duration.ofMinutes(9);
+
+  private final EngineContext context;
+  private final Streams streams;
+  private final WorkerPool pool;
+  private final OpenAttempts open;
+  private final OutlierEjection ejection;
+  private final Membership membership;
+  private final Map<AttemptId, LocalAttempt> local = new LinkedHashMap<>();
+  private final Map<AttemptId, Instant> lapsedCloses = new HashMap<>();
+  private Instant nextScan = Instant.EPOCH;
+
+  AttemptKeeper(
+      EngineContext context,
+      Streams streams,
+      WorkerPool pool,
+      OpenAttempts open,
+      OutlierEjection ejection,
+      Membership membership) {
+    this.context = context;
+    this.streams = streams;
+    this.pool = pool;
+    this.open = open;
+    this.ejection = ejection;
+    this.membership = membership;
+  }
+
+  /** Follows valid records: opened attempts are looked at, closed ones are forgotten. */
+  void applied(List<AppliedRecord> records) {
+    for (AppliedRecord each : records) {
+      if (!each.valid()) {
+        continue;
+      }
+      if (each.record() instanceof TasksClaimed claim) {
+        open.opened(claim);
+        claim.claims().forEach(task -> consider(claim.job(), task.task(), task.attempt()));
+      } else if (each.record() instanceof TaskClosed closed) {
+        forget(OpenAttempt.idOf(closed.job(), closed.task(), closed.attempt()), closed.cause());
+      } else if (each.record() instanceof HorizonExtended extended) {
+        extended(extended);
+      }
+    }
+  }
+
+  private void consider(String job, int task, int attempt) {
+    open.find(OpenAttempt.idOf(job, task, attempt)).ifPresent(this::consider);
+  }
+
+  private void forget(AttemptId id, CloseCause cause) {
+    open.closed(id);
+    lapsedCloses.remove(id);
+    if (local.remove(id) != null) {
+      context.note(TimelineKind.ATTEMPT_CLOSED, id, cause);
+    }
+  }
+
+  private void extended(HorizonExtended extended) {
+    AttemptId id = OpenAttempt.idOf(extended.job(), extended.task(), extended.attempt());
+    LocalAttempt attempt = local.get(id);
+    if (attempt != null && attempt.phase() == Phase.RUNNING) {
+      pool.activeWorker(attempt.worker())
+          .ifPresent(worker -> worker.extend(new WorkerCall.Extension(id, extended.horizon())));
+    }
+  }
+
+  @Override
+  public void reported(HeldWorker worker, List<TaskView> views) {
+    for (TaskView view : views) {
+      LocalAttempt attempt = local.get(view.attempt());
+      if (attempt != null && isAwaitingEnd(attempt)) {
+        view.result().ifPresent(result -> ended(worker, attempt, result));
+      }
+    }
+    for (OpenAttempt each : open.on(worker.id())) {
+      if (!local.containsKey(each.id())) {
+        consider(each);
+      }
+    }
+  }
+
+  private static boolean isAwaitingEnd(LocalAttempt attempt) {
+    return attempt.phase() == Phase.RUNNING || attempt.phase() == Phase.STOPPING;
+  }
+
+  @Override
+  public void lost(HeldWorker worker) {
+    local.values().removeIf(attempt -> attempt.worker().equals(worker.id()));
+  }
+
+  private void consider(OpenAttempt each) {
+    Placement placement = each.placement();
+    Optional<HeldWorker> held = pool.activeWorker(placement.worker());
+    if (held.isEmpty() || local.containsKey(each.id())) {
+      return;
+    }
+    HeldWorker worker = held.get();
+    boolean mine = placement.holder().equals(context.self()) && placement.token() == worker.token();
+    if (mine) {
+      startOwn(each, worker);
+    } else {
+      takeOver(each, worker);
+    }
+  }
+
+  private LocalAttempt track(OpenAttempt each, Phase phase) {
+    WorkerId worker = each.placement().worker();
+    LocalAttempt attempt =
+        new LocalAttempt(each.id(), each.job().spec().id(), each.task(), worker, phase);
+    local.put(each.id(), attempt);
+    return attempt;
+  }
+
+  private void startOwn(OpenAttempt each, HeldWorker worker) {
+    boolean reserved = worker.ledger().allocation(each.id()).isPresent();
+    if (!reserved || !mayStart(each)) {
+      pool.release(worker, each.id());
+      track(each, Phase.STARTING).close(CloseCause.NOT_RUN, context.now());
+      return;
+    }
+    Allocation allocation = Allocation.sent(each.job().spec().resources(), true);
+    pool.allocate(worker, each.id(), allocation);
+    track(each, Phase.STARTING);
+    context.note(TimelineKind.ATTEMPT_CLAIMED, each.id(), worker.id());
+    start(each, worker);
+  }
+
+  private boolean mayStart(OpenAttempt each) {
+    boolean inTime = context.now().isBefore(each.placement().notAfter());
+    return inTime && !each.job().isCancelled() && !each.job().isAborting();
+  }
+
+  private void start(OpenAttempt each, HeldWorker worker) {
+    LocalAttempt attempt = local.get(each.id());
+    attempt.moveTo(Phase.STARTING, Instant.MAX);
+    Placement placement = each.placement();
+    StartTask start =
+        new StartTask(
+            placement.token(),
+            each.id(),
+            each.job().spec().resources(),
+            placement.notAfter(),
+            placement.horizon(),
+            true,
+            each.job().spec().payload());
+    context.emit(new Effect.CallWorker(worker.id(), worker.instance().address(), start));
+  }
+
+  private void takeOver(OpenAttempt each, HeldWorker worker) {
+    boolean running =
+        worker
+            .ledger()
+            .allocation(each.id())
+            .map(allocation -> allocation.stage().isRunning())
+            .orElse(false);
+    if (running) {
+      LocalAttempt attempt = track(each, Phase.RUNNING);
+      attempt.run(context.now());
+      context.note(TimelineKind.ATTEMPT_ADOPTED, each.id(), worker.id());
+      return;
+    }
+    LocalAttempt attempt = track(each, Phase.RESOLVING);
+    attempt.tryAgainAt(context.now());
+  }
+
+  /** Takes a reply about a kept attempt. */
+  void replied(HeldWorker worker, WorkerCall call, AttemptId id, WorkerReply reply) {
+    if (reply instanceof WorkerReply.TaskState state && state.view().result().isPresent()) {
+      pool.release(worker, id);
+    }
+    LocalAttempt attempt = local.get(id);
+    Optional<OpenAttempt> known = open.find(id);
+    if (attempt == null || known.isEmpty() || attempt.phase() == Phase.CLOSING) {
+      return;
+    }
+    if (reply instanceof WorkerReply.TaskState state) {
+      applyState(worker, attempt, known.get(), state);
+    } else if (reply instanceof WorkerReply.Refused refused) {
+      applyRefusal(worker, attempt, refused, call);
+    } else {
+      attempt.tryAgainAt(context.now().plus(RETRY_INTERVAL));
+    }
+  }
+
+  private void applyState(
+      HeldWorker worker, LocalAttempt attempt, OpenAttempt each, WorkerReply.TaskState state) {
+    TaskView view = state.view();
+    switch (view.phase()) {
+      case ENDED -> ended(worker, attempt, view.result().orElse(TaskResult.FAILED));
+      case RUNNING -> confirmRunning(worker, attempt, each);
+      case FENCED -> {
+        pool.release(worker, attempt.id());
+        attempt.close(CloseCause.NOT_RUN, context.now());
+      }
+      case NEVER_SEEN -> neverSeen(worker, attempt, each, state);
+      default -> throw new IllegalStateException("task phase " + view.phase());
+    }
+  }
+
+  private void confirmRunning(HeldWorker worker, LocalAttempt attempt, OpenAttempt each) {
+    if (attempt.phase() == Phase.STOPPING) {
+      attempt.tryAgainAt(context.now().plus(RETRY_INTERVAL));
+      return;
+    }
+    if (attempt.phase() != Phase.RUNNING) {
+      attempt.run(context.now());
+      context.note(TimelineKind.ATTEMPT_STARTED, attempt.id(), worker.id());
+    }
+    pool.allocate(worker, attempt.id(), Allocation.running(each.job().spec().resources(), true));
+  }
+
+  private void neverSeen(
+      HeldWorker worker, LocalAttempt attempt, OpenAttempt each, WorkerReply.TaskState state) {
+    Placement placement = each.placement();
+    boolean rebooted = !placement.bootId().equals(state.bootId());
+    boolean tooOld = context.now().isAfter(placement.notAfter().plus(RECORDS_KEPT_BY_WORKERS));
+    boolean superseded = placement.token() < worker.token();
+    boolean tooLate = state.instant().isAfter(placement.notAfter());
+    if (rebooted || tooOld) {
+      pool.release(worker, attempt.id());
+      attempt.close(CloseCause.LOST, context.now());
+    } else if (superseded || tooLate) {
+      pool.release(worker, attempt.id());
+      attempt.close(CloseCause.NOT_RUN, context.now());
+    } else {
+      attempt.tryAgainAt(context.now().plus(RETRY_INTERVAL));
+    }
+  }
+
+  private void applyRefusal(
+      HeldWorker worker, LocalAttempt attempt, WorkerReply.Refused refused, WorkerCall call) {
+    boolean start = call instanceof StartTask;
+    if (start && refused.cause() != WorkerReply.Refusal.OLD_TOKEN) {
+      pool.release(worker, attempt.id());
+      boolean invalid = refused.cause() == WorkerReply.Refusal.INVALID;
+      attempt.close(invalid ? CloseCause.FAILED : CloseCause.NOT_RUN, context.now());
+    } else {
+      attempt.tryAgainAt(context.now().plus(RETRY_INTERVAL));
+    }
+  }
+
+  private void ended(HeldWorker worker, LocalAttempt attempt, TaskResult result) {
+    CloseCause cause =
+        switch (result) {
+          case DONE -> CloseCause.DONE;
+          case FAILED -> CloseCause.FAILED;
+          case STOPPED -> attempt.causeIfStopped();
+          case LAPSED -> CloseCause.PREEMPTED;
+        };
+    pool.release(worker, attempt.id());
+    open.find(attempt.id())
+        .ifPresent(
+            each -> {
+              if (result == TaskResult.DONE || result == TaskResult.FAILED) {
+                String className = each.job().spec().className();
+                ejection.record(worker, className, result == TaskResult.DONE);
+              }
+            });
+    attempt.close(cause, context.now());
+  }
+
+  void tick() {
+    if (context.now().isBefore(nextScan)) {
+      return;
+    }
+    nextScan = context.now().plus(RETRY_INTERVAL.dividedBy(5));
+    for (LocalAttempt attempt : new ArrayList<>(local.values())) {
+      Optional<OpenAttempt> each = open.find(attempt.id());
+      Optional<HeldWorker> worker = pool.activeWorker(attempt.worker());
+      if (each.isEmpty() || worker.isEmpty()) {
+        local.remove(attempt.id());
+      } else {
+        act(attempt, each.get(), worker.get());
+      }
+    }
+    closeLapsed();
+  }
+
+  private void act(LocalAttempt attempt, OpenAttempt each, HeldWorker worker) {
+    if (attempt.phase() == Phase.RUNNING) {
+      actOnRunning(attempt, each);
+    }
+    if (!attempt.isDue(context.now())) {
+      return;
+    }
+    attempt.tryAgainAt(context.now().plus(RETRY_INTERVAL.multipliedBy(4)));
+    switch (attempt.phase()) {
+      case STARTING -> startAgain(attempt, each, worker);
+      case RESOLVING -> call(worker, new ReadTask(attempt.id()));
+      case STOPPING -> {
+        boolean checkpoint = attempt.causeIfStopped() == CloseCause.PREEMPTED;
+        call(worker, new StopTask(worker.token(), attempt.id(), checkpoint));
+      }
+      case CLOSING -> appendClose(attempt, each);
+      case RUNNING -> {}
+      default -> throw new IllegalStateException("attempt phase " + attempt.phase());
+    }
+  }
+
+  private void startAgain(LocalAttempt attempt, OpenAttempt each, HeldWorker worker) {
+    if (mayStart(each)) {
+      start(each, worker);
+    } else {
+      attempt.moveTo(Phase.RESOLVING, context.now());
+    }
+  }
+
+  private void call(HeldWorker worker, WorkerCall call) {
+    context.emit(new Effect.CallWorker(worker.id(), worker.instance().address(), call));
+  }
+
+  private void appendClose(LocalAttempt attempt, OpenAttempt each) {
+    attempt.tryAgainAt(context.now().plus(CLOSE_RETRY_INTERVAL));
+    TaskClosed record =
+        TaskClosed.proved(attempt.job(), attempt.task(), each.attempt(), attempt.cause());
+    context.append(streams.name(each.stream()), record);
+  }
+
+  private void actOnRunning(LocalAttempt attempt, OpenAttempt each) {
+    Instant horizon = each.placement().horizon();
+    if (each.job().isCancelled()) {
+      attempt.stop(CloseCause.CANCELLED, context.now());
+    } else if (each.job().isAborting()) {
+      attempt.stop(CloseCause.PREEMPTED, context.now());
+    } else if (context.now().isAfter(horizon.minus(STOP_BEFORE_HORIZON))) {
+      attempt.stop(CloseCause.PREEMPTED, context.now());
+      context.note(TimelineKind.ATTEMPT_PREEMPTED, attempt.id(), "horizon " + horizon);
+    } else {
+      extendIfDue(attempt, each, horizon);
+    }
+  }
+
+  private void extendIfDue(LocalAttempt attempt, OpenAttempt each, Instant horizon) {
+    Duration half = context.settings().horizonLength().dividedBy(2);
+    boolean due = context.now().isAfter(horizon.minus(half));
+    if (!due || !attempt.mayExtend(context.now())) {
+      return;
+    }
+    attempt.extendAgainAt(context.now().plus(CLOSE_RETRY_INTERVAL));
+    Instant newHorizon = context.now().plus(context.settings().horizonLength());
+    long epoch = streams.fold(each.stream()).epoch();
+    context.append(
+        streams.name(each.stream()),
+        new HorizonExtended(attempt.job(), attempt.task(), each.attempt(), epoch, newHorizon));
+  }
+
+  /** Closes attempts whose horizon has surely passed everywhere and that nobody holds. */
+  private void closeLapsed() {
+    Duration margin = context.settings().clockBound().multipliedBy(2);
+    for (OpenAttempt each : new ArrayList<>(open.all())) {
+      boolean passed = context.now().isAfter(each.placement().horizon().plus(margin));
+      boolean owned =
+          streams.fold(each.stream()).owner().equals(Optional.of(context.failureDomain()));
+      if (passed && owned && !local.containsKey(each.id())) {
+        closeLapsed(each);
+      }
+    }
+  }
+
+  private void closeLapsed(OpenAttempt each) {
+    if (membership.rank(each.id().toString()) != 0) {
+      return;
+    }
+    Instant next = lapsedCloses.getOrDefault(each.id(), Instant.EPOCH);
+    if (context.now().isBefore(next)) {
+      return;
+    }
+    lapsedCloses.put(each.id(), context.now().plus(CLOSE_RETRY_INTERVAL));
+    context.append(
+        streams.name(each.stream()),
+        TaskClosed.lapsed(
+            each.job().spec().id(), each.task(), each.attempt(), each.placement().horizon()));
+  }
+
+  /** Stops running attempts to make room, those that ran the shortest first. */
+  int preempt(int count) {
+    List<LocalAttempt> cheapest =
+        local.values().stream()
+            .filter(attempt -> attempt.phase() == Phase.RUNNING)
+            .filter(attempt -> !isGang(attempt))
+            .sorted(Comparator.comparing(LocalAttempt::runningSince).reversed())
+            .limit(count)
+            .toList();
+    for (LocalAttempt attempt : cheapest) {
+      attempt.stop(CloseCause.PREEMPTED, context.now());
+      context.note(TimelineKind.ATTEMPT_PREEMPTED, attempt.id(), "short work waits");
+    }
+    return cheapest.size();
+  }
+
+  private boolean isGang(LocalAttempt attempt) {
+    return open.find(attempt.id())
+        .map(each -> each.job().spec().kind().startsTogether())
+        .orElse(false);
+  }
+
+  /** Tells whether starts and closes are under way that a leaving instance should finish. */
+  boolean isIdle() {
+    return local.values().stream().allMatch(attempt -> attempt.phase() == Phase.RUNNING);
+  }
+
+  int stopping() {
+    return (int)
+        local.values().stream().filter(attempt -> attempt.phase() == Phase.STOPPING).count();
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/BatchScheduler.java
@@ -0,0 +1,300 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopport.engine.WorkerLedger.Allocation;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.work.Job;
+import org.hyssopport.engine.work.Placement;
+import org.hyssopport.engine.work.StreamRecord.TaskClaim;
+import org.hyssopport.engine.work.StreamRecord.TasksClaimed;
+import org.hyssopport.engine.work.TaskEntry;
+import org.hyssopport.policy.Resources;
+import org.hyssopport.policy.Team;
+
+/**
+ * Claims waiting batch tasks for the workers that are held here.
+ *
+ * <p>Every member of the domain reads the same waiting tasks. For each task the members have an
+ * order of preference; a later member claims only after the earlier ones had time to. If two claim
+ * all the same, the log's order decides.
+ */
+final class BatchScheduler {
+
+  private static final Duration SCAN_INTERVAL = Duration.ofMillis(40);
+  private static final Duration PREFERENCE_STEP = Duration.ofMillis(300);
+  private static final Duration PAUSE_AFTER_CREST = Duration.ofSeconds(1);
+  private static final Duration PREEMPTION_INTERVAL = Duration.ofMillis(100);
+  private static final int MOST_LOOKED_AT = 400;
+  private static final int MOST_CLAIMS_IN_FLIGHT = 512;
+  private static final int MOST_STOPPING = 64;
+
+  private final EngineContext context;
+  private final Streams streams;
+  private final StreamKeeper owners;
+  private final Membership membership;
+  private final WorkerPool pool;
+  private final OpenAttempts open;
+  private final AttemptKeeper attempts;
+  private final AppendTracker tracker;
+  private final Dispatcher dispatcher;
+  private final Set<AttemptId> claiming = new HashSet<>();
+  private final Map<AttemptId, Instant> firstSeen = new HashMap<>();
+  private final Map<String, Resources> claimedByTeam = new HashMap<>();
+  private Instant nextScan = Instant.EPOCH;
+  private Instant nextPreemption = Instant.EPOCH;
+  private Instant pausedUntil = Instant.EPOCH;
+
+  BatchScheduler(
+      EngineContext context,
+      Streams streams,
+      StreamKeeper owners,
+      Membership membership,
+      WorkerPool pool,
+      OpenAttempts open,
+      AttemptKeeper attempts,
+      AppendTracker tracker,
+      Dispatcher dispatcher) {
+    this.context = context;
+    this.streams = streams;
+    this.owners = owners;
+    this.membership = membership;
+    this.pool = pool;
+    this.open = open;
+    this.attempts = attempts;
+    this.tracker = tracker;
+    this.dispatcher = dispatcher;
+  }
+
+  void tick() {
+    makeRoomIfNeeded();
+    if (context.now().isBefore(nextScan)) {
+      return;
+    }
+    nextScan = context.now().plus(SCAN_INTERVAL);
+    if (!isPaused()) {
+      claimWaiting();
+    }
+  }
+
+  /** Tells whether batch and gang work must not be placed now. */
+  boolean isPaused() {
+    return context.isDraining()
+        || context.configuration().isEmpty()
+        || context.now().isBefore(pausedUntil);
+  }
+
+  private void makeRoomIfNeeded() {
+    if (!context.settings().queueing().preempts() || context.now().isBefore(nextPreemption)) {
+      return;
+    }
+    boolean crest =
+        dispatcher
+            .shortWait()
+            .map(wait -> wait.compareTo(context.settings().preemptionDelay()) > 0)
+            .orElse(false);
+    if (!crest) {
+      return;
+    }
+    nextPreemption = context.now().plus(PREEMPTION_INTERVAL);
+    pausedUntil = context.now().plus(PAUSE_AFTER_CREST);
+    int wanted = Math.min(dispatcher.waiting(), MOST_STOPPING) - attempts.stopping();
+    if (wanted > 0) {
+      attempts.preempt(wanted);
+    }
+  }
+
+  private void claimWaiting() {
+    int looked = 0;
+    for (WaitingJob each : waitingJobs()) {
+      for (int task = 0; task < each.job().size(); task++) {
+        if (each.job().task(task).phase() != TaskEntry.Phase.WAITING) {
+          continue;
+        }
+        looked++;
+        boolean placed = claimIfMine(each, task);
+        boolean enough = looked >= MOST_LOOKED_AT || claiming.size() >= MOST_CLAIMS_IN_FLIGHT;
+        if (enough || !placed) {
+          break;
+        }
+      }
+      if (looked >= MOST_LOOKED_AT || claiming.size() >= MOST_CLAIMS_IN_FLIGHT) {
+        break;
+      }
+    }
+    if (firstSeen.size() > MOST_LOOKED_AT * 4) {
+      firstSeen.clear();
+    }
+  }
+
+  private List<WaitingJob> waitingJobs() {
+    List<WaitingJob> waiting = new ArrayList<>();
+    for (int index = 0; index < streams.count(); index++) {
+      if (!owners.isOwned(index) || !streams.work(index).isEstablished()) {
+        continue;
+      }
+      for (Job job : streams.fold(index).unfinishedJobs()) {
+        if (!job.spec().kind().startsTogether() && !job.isCancelled()) {
+          waiting.add(new WaitingJob(index, job));
+        }
+      }
+    }
+    waiting.sort(Comparator.comparing(each -> each.job().spec().deadline()));
+    return waiting;
+  }
+
+  /** Claims the task if it is this instance's turn; returns false if the job can't go on now. */
+  private boolean claimIfMine(WaitingJob each, int task) {
+    int attempt = each.job().task(task).attempt() + 1;
+    AttemptId id = OpenAttempt.idOf(each.job().spec().id(), task, attempt);
+    if (claiming.contains(id)) {
+      return true;
+    }
+    Instant seen = firstSeen.computeIfAbsent(id, key -> context.now());
+    long patience = Duration.between(seen, context.now()).dividedBy(PREFERENCE_STEP);
+    if (rankAmongFree(id) > patience) {
+      return true;
+    }
+    if (!isWithinQuota(each.job())) {
+      return false;
+    }
+    Optional<HeldWorker> worker =
+        pool.chooseForTask(each.job().spec().resources(), candidate -> true);
+    worker.ifPresent(chosen -> claim(each, task, id, chosen));
+    return worker.isPresent();
+  }
+
+  private int rankAmongFree(AttemptId id) {
+    List<String> candidates = new ArrayList<>();
+    for (String member : membership.members(context.failureDomain())) {
+      boolean self = member.equals(context.self().name());
+      boolean free =
+          membership.peerNamed(member).map(peer -> peer.freeSlots(Lane.LONG) > 0).orElse(false);
+      if (self || free) {
+        candidates.add(member);
+      }
+    }
+    return Rendezvous.rank(id.toString(), candidates, context.self().name());
+  }
+
+  boolean isWithinQuota(Job job) {
+    Optional<Team> team =
+        context.configuration().flatMap(known -> known.teamNamed(job.spec().team()));
+    if (team.isEmpty()) {
+      return true;
+    }
+    int tasks = job.spec().kind().startsTogether() ? job.size() : 1;
+    Resources after =
+        open.usedBy(job.spec().team())
+            .plus(claimedByTeam.getOrDefault(job.spec().team(), Resources.NONE))
+            .plus(job.spec().resources().times(tasks));
+    return after.fitsIn(shareOf(team.get().quota()));
+  }
+
+  /** Returns this domain's share of a quota, rounded up. */
+  private Resources shareOf(Resources quota) {
+    long domains = context.allDomains().size();
+    return new Resources(
+        ceilingShare(quota.milliProcessors(), domains),
+        ceilingShare(quota.memoryMebibytes(), domains),
+        ceilingShare(quota.accelerators(), domains));
+  }
+
+  private static long ceilingShare(long whole, long parts) {
+    return (whole + parts - 1) / parts;
+  }
+
+  private void claim(WaitingJob each, int task, AttemptId id, HeldWorker worker) {
+    Instant notAfter = context.now().plus(context.settings().startWindow());
+    Instant horizon = context.now().plus(context.settings().horizonLength());
+    Placement placement =
+        new Placement(
+            worker.id(), worker.bootId(), context.self(), worker.token(), notAfter, horizon);
+    Resources resources = each.job().spec().resources();
+    String team = each.job().spec().team();
+    pool.allocate(worker, id, Allocation.reserved(resources, notAfter));
+    claiming.add(id);
+    firstSeen.remove(id);
+    claimedByTeam.merge(team, resources, Resources::plus);
+    TasksClaimed record =
+        new TasksClaimed(
+            each.job().spec().id(),
+            streams.fold(each.stream()).epoch(),
+            List.of(new TaskClaim(task, id.number(), placement)));
+    ClaimListener listener = new ClaimListener(id, worker, team, resources);
+    tracker.append(streams.name(each.stream()), record, notAfter, listener);
+  }
+
+  boolean isIdle() {
+    return claiming.isEmpty();
+  }
+
+  /**
+   * A job with its stream.
+   *
+   * @param stream the stream's index
+   * @param job the job
+   */
+  private record WaitingJob(int stream, Job job) {}
+
+  /** Settles a claim once the log has decided. */
+  private final class ClaimListener implements AppendTracker.Listener {
+
+    private final AttemptId id;
+    private final HeldWorker worker;
+    private final String team;
+    private final Resources resources;
+
+    private ClaimListener(AttemptId id, HeldWorker worker, String team, Resources resources) {
+      this.id = id;
+      this.worker = worker;
+      this.team = team;
+      this.resources = resources;
+    }
+
+    @Override
+    public void applied(boolean valid) {
+      settle();
+      if (!valid) {
+        context.note(TimelineKind.CLAIM_REJECTED, id, "another claim came first");
+        releaseReservation();
+      }
+    }
+
+    @Override
+    public void refused() {
+      settle();
+      releaseReservation();
+    }
+
+    @Override
+    public void expired() {
+      settle();
+    }
+
+    private void settle() {
+      claiming.remove(id);
+      claimedByTeam.merge(team, resources, Resources::minus);
+    }
+
+    private void releaseReservation() {
+      boolean reserved =
+          worker
+              .ledger()
+              .allocation(id)
+              .map(held -> held.stage() == Allocation.Stage.RESERVED)
+              .orElse(false);
+      if (reserved) {
+        pool.release(worker, id);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/ConfigurationKeeper.java
@@ -0,0 +1,172 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.hyssopport.engine.Answer.ConfigurationAnswer;
+import org.hyssopport.engine.Answer.RefusalKind;
+import org.hyssopport.engine.PeerMessage.ConfigurationOffered;
+import org.hyssopport.engine.PeerMessage.ConfigurationWanted;
+import org.hyssopport.engine.platform.EntryId;
+import org.hyssopport.engine.work.ConfigurationFold;
+import org.hyssopport.engine.work.StreamRecord.Checkpoint;
+import org.hyssopport.engine.work.StreamRecord.ConfigurationChanged;
+import org.hyssopport.policy.ConfigurationReader;
+
+/**
+ * Keeps the configuration in force and passes newer ones on.
+ *
+ * <p>The log's order decides which change is accepted. An instance applies only newer versions,
+ * from the log or from peers, so that none is ever taken back.
+ */
+final class ConfigurationKeeper {
+
+  private static final Duration PUBLISH_PATIENCE = Duration.ofSeconds(10);
+  private static final Duration ASK_INTERVAL = Duration.ofMillis(500);
+  private static final Duration CHECKPOINT_RETRY_INTERVAL = Duration.ofSeconds(30);
+  private static final int CHECKPOINTS_PER_RETENTION = 3;
+
+  private final EngineContext context;
+  private final Streams streams;
+  private final AppendTracker tracker;
+  private final Membership membership;
+  private long version = ConfigurationFold.NO_VERSION;
+  private String text = "";
+  private Instant nextAsk = Instant.EPOCH;
+  private Instant nextCheckpoint = Instant.EPOCH;
+
+  ConfigurationKeeper(
+      EngineContext context, Streams streams, AppendTracker tracker, Membership membership) {
+    this.context = context;
+    this.streams = streams;
+    this.tracker = tracker;
+    this.membership = membership;
+  }
+
+  long version() {
+    return version;
+  }
+
+  void query(long handle) {
+    if (version == ConfigurationFold.NO_VERSION) {
+      context.reply(handle, Answers.notFound("configuration", "none is in force"));
+    } else {
+      context.reply(handle, new ConfigurationAnswer(version, text));
+    }
+  }
+
+  void publish(Event.ConfigurationPublished event) {
+    var checked = ConfigurationReader.read(event.text());
+    if (checked.isLeft()) {
+      context.reply(event.handle(), new Answer.Refused(RefusalKind.INVALID, checked.getLeft()));
+      return;
+    }
+    if (event.base() < version) {
+      context.reply(event.handle(), new Answer.StaleBase(event.base(), version));
+      return;
+    }
+    tracker.append(
+        Streams.CONFIGURATION,
+        new ConfigurationChanged(event.base(), event.text()),
+        context.now().plus(PUBLISH_PATIENCE),
+        new PublishListener(event));
+  }
+
+  /** Applies what the log says now. */
+  void readFromLog() {
+    ConfigurationFold fold = streams.configuration().fold();
+    fold.text().ifPresent(newText -> apply(fold.version(), newText));
+  }
+
+  private void apply(long newVersion, String newText) {
+    if (newVersion <= version) {
+      return;
+    }
+    var checked = ConfigurationReader.read(newText);
+    if (checked.isLeft()) {
+      return;
+    }
+    version = newVersion;
+    text = newText;
+    context.configure(checked.get());
+    context.note(TimelineKind.CONFIGURATION_IN_FORCE, "version " + version, checked.get().name());
+  }
+
+  /** Asks a peer for its configuration if it has a newer one. */
+  void compare(Membership.Peer peer) {
+    boolean newer = peer.configurationVersion() > version;
+    if (newer && !context.now().isBefore(nextAsk)) {
+      nextAsk = context.now().plus(ASK_INTERVAL);
+      send(peer, new ConfigurationWanted());
+    }
+  }
+
+  void wanted(EntryId sender) {
+    if (version != ConfigurationFold.NO_VERSION) {
+      membership
+          .peer(sender)
+          .ifPresent(peer -> send(peer, new ConfigurationOffered(version, text)));
+    }
+  }
+
+  void offered(ConfigurationOffered offer) {
+    nextAsk = context.now();
+    apply(offer.version(), offer.text());
+  }
+
+  private void send(Membership.Peer peer, PeerMessage message) {
+    context.emit(
+        new Effect.SendToPeer(
+            peer.address(), new PeerMessage.Envelope(context.self(), peer.id(), message)));
+  }
+
+  /** Writes the configuration again before its record lapses. */
+  void tick() {
+    Duration interval = context.settings().retention().dividedBy(CHECKPOINTS_PER_RETENTION);
+    boolean due =
+        streams
+            .configuration()
+            .oldestNeededAt()
+            .map(at -> context.now().isAfter(at.plus(interval)))
+            .orElse(false);
+    boolean mine = membership.rank("configuration-checkpoint") == 0;
+    boolean known = streams.configuration().isEstablished();
+    if (!due || !mine || !known || context.now().isBefore(nextCheckpoint)) {
+      return;
+    }
+    nextCheckpoint = context.now().plus(CHECKPOINT_RETRY_INTERVAL);
+    long covered = streams.configuration().nextOffset() - 1;
+    String state = streams.configuration().fold().snapshot();
+    context.append(Streams.CONFIGURATION, new Checkpoint(covered, state));
+  }
+
+  /** Tells the operator what became of a publication. */
+  private final class PublishListener implements AppendTracker.Listener {
+
+    private final Event.ConfigurationPublished event;
+
+    private PublishListener(Event.ConfigurationPublished event) {
+      this.event = event;
+    }
+
+    @Override
+    public void applied(boolean valid) {
+      readFromLog();
+      Answer answer =
+          valid
+              ? new ConfigurationAnswer(streams.configuration().fold().version(), event.text())
+              : new Answer.StaleBase(event.base(), streams.configuration().fold().version());
+      context.reply(event.handle(), answer);
+    }
+
+    @Override
+    public void refused() {
+      context.reply(event.handle(), Answers.unavailable(Reason.LOG_UNAVAILABLE));
+    }
+
+    @Override
+    public void expired() {
+      String lost = Reason.LOG_ANSWER_LOST.text();
+      context.reply(event.handle(), Answers.refused(RefusalKind.UNKNOWN_OUTCOME, "", lost));
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Dispatcher.java
@@ -0,0 +1,458 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import org.hyssopport.engine.Request.Phase;
+import org.hyssopport.engine.Request.WorkerSend;
+import org.hyssopport.engine.WorkerLedger.Allocation;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.platform.TaskPhase;
+import org.hyssopport.engine.platform.TaskResult;
+import org.hyssopport.engine.platform.TaskView;
+import org.hyssopport.engine.platform.WorkerCall;
+import org.hyssopport.engine.platform.WorkerCall.ReadTask;
+import org.hyssopport.engine.platform.WorkerCall.StartTask;
+import org.hyssopport.engine.platform.WorkerCall.StopTask;
+import org.hyssopport.engine.platform.WorkerReply;
+
+/**
+ * Sends waiting requests to slots and finds out what became of them.
+ *
+ * <p>An attempt whose answer was lost is asked for by its id, never sent again. Only an attempt
+ * that is proved not to have run, or a repeatable request, gets another attempt.
+ */
+final class Dispatcher {
+
+  private static final int MOST_LOOKED_AT = 8;
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+  private static final Duration UNREACHABLE_POLL_INTERVAL = Duration.ofMillis(500);
+  private static final Duration HORIZON_GRACE = Duration.ofSeconds(1);
+
+  private final EngineContext context;
+  private final WorkerPool pool;
+  private final RequestBook book;
+  private final Forwarder forwarder;
+  private final OutlierEjection ejection;
+  private final RequestQueue queue;
+  private final RetryBudget retryBudget;
+  private final Map<String, RunTimeEstimate> estimates = new HashMap<>();
+  private final PriorityQueue<Poll> polls =
+      new PriorityQueue<>(Comparator.comparing(Poll::instant));
+
+  Dispatcher(
+      EngineContext context,
+      WorkerPool pool,
+      RequestBook book,
+      Forwarder forwarder,
+      OutlierEjection ejection) {
+    this.context = context;
+    this.pool = pool;
+    this.book = book;
+    this.forwarder = forwarder;
+    this.ejection = ejection;
+    this.queue = new RequestQueue(context.settings().queueing());
+    this.retryBudget = RetryBudget.of(context.settings().retryShare());
+  }
+
+  int waiting() {
+    return queue.size();
+  }
+
+  boolean isFull() {
+    return queue.size() >= context.settings().maximumWaiting();
+  }
+
+  RunTimeEstimate estimate(Request request) {
+    return estimates.computeIfAbsent(
+        request.workClass().name(),
+        name -> RunTimeEstimate.declared(request.workClass().expectedRunTime()));
+  }
+
+  void enqueue(Request request) {
+    retryBudget.recordFirstAttempt();
+    waitForSlot(request);
+  }
+
+  private void waitForSlot(Request request) {
+    if (!request.mayBeForwarded()) {
+      giveUpWaiting(request);
+      return;
+    }
+    request.waitAgain(context.now());
+    queue.add(context.settings().queueing().laneOf(estimate(request)), request);
+  }
+
+  /** Starts a request at once on an own worker, or returns false and keeps nothing of it. */
+  boolean startNow(Request request) {
+    return !overtaken(request)
+        && sendToOwnWorker(request, context.settings().queueing().laneOf(estimate(request)));
+  }
+
+  private boolean overtaken(Request request) {
+    Lane lane = context.settings().queueing().laneOf(estimate(request));
+    return queue.size(lane) > 0;
+  }
+
+  /** Returns how long the first short request has waited; nothing if none waits. */
+  Optional<Duration> shortWait() {
+    return queue
+        .first(Lane.SHORT)
+        .map(request -> Duration.between(request.waitingSince(), context.now()));
+  }
+
+  void dispatch() {
+    for (Lane lane : Lane.values()) {
+      int blocked = 0;
+      boolean progress = true;
+      while (progress && queue.size(lane) > 0) {
+        progress = false;
+        for (Request request : queue.first(lane, MOST_LOOKED_AT)) {
+          if (settleWaiting(request, lane)) {
+            progress = true;
+          } else {
+            blocked++;
+          }
+        }
+        progress = progress && blocked < MOST_LOOKED_AT;
+      }
+    }
+  }
+
+  private boolean settleWaiting(Request request, Lane lane) {
+    Instant needed = context.now().plusMillis(estimate(request).surelyNeededMillis());
+    if (needed.isAfter(request.deadline())) {
+      queue.remove(request);
+      giveUpWaiting(request);
+      return true;
+    }
+    if (sendToOwnWorker(request, lane) || forwarder.forward(request, lane)) {
+      queue.remove(request);
+      return true;
+    }
+    return false;
+  }
+
+  private void giveUpWaiting(Request request) {
+    if (request.mayHaveRun()) {
+      book.finish(request, Outcome.UNKNOWN, Reason.ANSWER_LOST, Optional.empty());
+    } else if (request.hasFailed()) {
+      book.finish(request, Outcome.FAILED, Reason.WORK_FAILED, Optional.empty());
+    } else {
+      book.finish(request, Outcome.NOT_RUN, Reason.NO_CAPACITY_IN_TIME, Optional.empty());
+    }
+  }
+
+  private boolean sendToOwnWorker(Request request, Lane lane) {
+    Optional<HeldWorker> chosen =
+        pool.chooseForRequest(
+            request.workClass().resources(), lane, worker -> !request.avoids(worker.id()));
+    if (chosen.isEmpty() && request.attempts() > 0) {
+      chosen = pool.chooseForRequest(request.workClass().resources(), lane, worker -> true);
+    }
+    chosen.ifPresent(worker -> send(request, worker));
+    return chosen.isPresent();
+  }
+
+  private void send(Request request, HeldWorker worker) {
+    Instant leaseEnd = worker.leaseDeadline().minus(context.settings().clockBound());
+    Instant notAfter = request.deadline().isBefore(leaseEnd) ? request.deadline() : leaseEnd;
+    WorkerSend send =
+        new WorkerSend(worker.id(), worker.token(), worker.bootId(), notAfter, context.now());
+    AttemptId attempt = request.sentTo(send);
+    pool.allocate(worker, attempt, Allocation.sent(request.workClass().resources(), false));
+    Instant horizon = request.deadline().plus(HORIZON_GRACE);
+    StartTask start =
+        new StartTask(
+            worker.token(),
+            attempt,
+            request.workClass().resources(),
+            notAfter,
+            horizon,
+            false,
+            request.stated().body());
+    context.note(TimelineKind.REQUEST_SENT, attempt, worker.id());
+    context.emit(new Effect.CallWorker(worker.id(), worker.instance().address(), start));
+  }
+
+  /** Takes a reply about an attempt of a request. */
+  void replied(HeldWorker worker, WorkerCall call, AttemptId attempt, WorkerReply reply) {
+    WorkerReply checked = call instanceof StartTask ? rejectCrossed(attempt, reply) : reply;
+    if (checked instanceof WorkerReply.TaskState state && hasEnded(state)) {
+      release(worker, attempt);
+    }
+    Optional<Request> request = book.active(attempt.task());
+    if (request.isEmpty()) {
+      if (checked instanceof WorkerReply.Refused || isUnsent(checked)) {
+        release(worker, attempt);
+      } else if (checked instanceof WorkerReply.Failed) {
+        leaveToReports(worker, attempt);
+      }
+      return;
+    }
+    apply(request.get(), worker, call, attempt, checked);
+  }
+
+  private static WorkerReply rejectCrossed(AttemptId attempt, WorkerReply reply) {
+    boolean crossed =
+        reply instanceof WorkerReply.TaskState state && !state.view().attempt().equals(attempt);
+    return crossed ? new WorkerReply.Failed(true) : reply;
+  }
+
+  private static boolean hasEnded(WorkerReply.TaskState state) {
+    return state.view().phase() == TaskPhase.ENDED || state.view().phase() == TaskPhase.FENCED;
+  }
+
+  private static boolean isUnsent(WorkerReply reply) {
+    return reply instanceof WorkerReply.Failed failed && !failed.mayHaveTakenEffect();
+  }
+
+  private void release(HeldWorker worker, AttemptId attempt) {
+    pool.release(worker, attempt);
+  }
+
+  private void apply(
+      Request request, HeldWorker worker, WorkerCall call, AttemptId attempt, WorkerReply reply) {
+    boolean current = request.currentAttempt().equals(attempt);
+    if (reply instanceof WorkerReply.TaskState state) {
+      applyState(request, worker, attempt, state);
+    } else if (call instanceof StartTask) {
+      applyFailedStart(request, worker, attempt, reply, current);
+    } else if (reply instanceof WorkerReply.Refused) {
+      poll(request, attempt, POLL_INTERVAL);
+    } else {
+      applyUnreachable(request, worker, attempt, current);
+    }
+  }
+
+  private void applyFailedStart(
+      Request request, HeldWorker worker, AttemptId attempt, WorkerReply reply, boolean current) {
+    if (reply instanceof WorkerReply.Refused || isUnsent(reply)) {
+      release(worker, attempt);
+      if (current) {
+        request.avoid(worker.id());
+        if (isUnsent(reply)) {
+          ejection.record(worker, request.workClass().name(), false);
+        }
+        waitForSlot(request);
+      }
+      return;
+    }
+    request.moveTo(Phase.RESOLVING);
+    readState(request, attempt);
+  }
+
+  private void applyState(
+      Request request, HeldWorker worker, AttemptId attempt, WorkerReply.TaskState state) {
+    TaskView view = state.view();
+    Optional<WorkerSend> send = request.send(attempt.number());
+    switch (view.phase()) {
+      case ENDED -> ended(request, worker, attempt, view);
+      case RUNNING -> poll(request, attempt, POLL_INTERVAL);
+      case FENCED -> {
+        if (request.currentAttempt().equals(attempt) && request.phase() == Phase.RESOLVING) {
+          waitForSlot(request);
+        }
+      }
+      case NEVER_SEEN -> {
+        boolean rebooted = send.map(known -> !known.bootId().equals(state.bootId())).orElse(true);
+        boolean tooLate =
+            send.map(known -> state.instant().isAfter(known.notAfter())).orElse(false);
+        neverSeen(request, worker, attempt, rebooted, tooLate);
+      }
+      default -> throw new IllegalStateException("task phase " + view.phase());
+    }
+  }
+
+  private void neverSeen(
+      Request request, HeldWorker worker, AttemptId attempt, boolean rebooted, boolean tooLate) {
+    boolean current = request.currentAttempt().equals(attempt);
+    if (rebooted) {
+      release(worker, attempt);
+      if (current) {
+        lost(request, worker);
+        finishLostForGood(request);
+      }
+    } else if (tooLate) {
+      release(worker, attempt);
+      if (current && request.phase() == Phase.RESOLVING) {
+        waitForSlot(request);
+      }
+    } else if (holdsSameLease(request, worker, attempt)) {
+      StopTask fence = new StopTask(worker.token(), attempt, false);
+      context.emit(new Effect.CallWorker(worker.id(), worker.instance().address(), fence));
+    } else {
+      poll(request, attempt, POLL_INTERVAL);
+    }
+  }
+
+  private static boolean holdsSameLease(Request request, HeldWorker worker, AttemptId attempt) {
+    return worker.state().isHeld()
+        && request.send(attempt.number()).map(send -> send.token() == worker.token()).orElse(false);
+  }
+
+  private void ended(Request request, HeldWorker worker, AttemptId attempt, TaskView view) {
+    boolean done = view.result().equals(Optional.of(TaskResult.DONE));
+    request
+        .send(attempt.number())
+        .ifPresent(
+            send ->
+                estimate(request)
+                    .observe(Duration.between(send.sentAt(), context.now()).toMillis()));
+    ejection.record(worker, request.workClass().name(), done);
+    if (done) {
+      queue.remove(request);
+      book.finish(request, Outcome.DONE, Reason.COMPLETED, view.answer());
+      return;
+    }
+    request.noteFailed();
+    boolean current = request.currentAttempt().equals(attempt);
+    if (!current) {
+      return;
+    }
+    request.avoid(worker.id());
+    if (request.isRepeatable() && mayRetry(request)) {
+      retry(request, "failed on " + worker.id());
+    } else {
+      book.finish(request, Outcome.FAILED, Reason.WORK_FAILED, view.answer());
+    }
+  }
+
+  private void applyUnreachable(
+      Request request, HeldWorker worker, AttemptId attempt, boolean current) {
+    request.noteMayHaveRun();
+    if (current && request.phase() == Phase.RESOLVING) {
+      lost(request, worker);
+    }
+    if (request.phase() != Phase.FINISHED && !request.isRepeatable()) {
+      poll(request, attempt, UNREACHABLE_POLL_INTERVAL);
+    }
+  }
+
+  private void lost(Request request, HeldWorker worker) {
+    request.noteMayHaveRun();
+    request.avoid(worker.id());
+    leaveToReports(worker, request.currentAttempt());
+    if (request.isRepeatable() && mayRetry(request)) {
+      retry(request, "answer lost from " + worker.id());
+    }
+  }
+
+  private void finishLostForGood(Request request) {
+    if (request.phase() == Phase.RESOLVING) {
+      book.finish(request, Outcome.UNKNOWN, Reason.ANSWER_LOST, Optional.empty());
+    }
+  }
+
+  /** Keeps the allocation until the worker's own report shows that the attempt has ended. */
+  private void leaveToReports(HeldWorker worker, AttemptId attempt) {
+    worker
+        .ledger()
+        .allocation(attempt)
+        .ifPresent(
+            held ->
+                pool.allocate(worker, attempt, Allocation.reported(held.resources(), held.kept())));
+  }
+
+  private boolean mayRetry(Request request) {
+    return request.mayBeForwarded()
+        && context.now().isBefore(request.deadline())
+        && retryBudget.tryRetry();
+  }
+
+  private void retry(Request request, String why) {
+    context.note(TimelineKind.REQUEST_RETRIED, request.id(), why);
+    waitForSlot(request);
+  }
+
+  private void poll(Request request, AttemptId attempt, Duration delay) {
+    Instant forgetAt = request.deadline().plus(context.settings().answersKept());
+    if (context.now().isBefore(forgetAt)) {
+      polls.add(new Poll(context.now().plus(delay), attempt));
+    } else {
+      book.finish(request, Outcome.UNKNOWN, Reason.ANSWER_LOST, Optional.empty());
+    }
+  }
+
+  private void readState(Request request, AttemptId attempt) {
+    request
+        .send(attempt.number())
+        .flatMap(send -> pool.worker(send.worker()))
+        .ifPresentOrElse(
+            worker ->
+                context.emit(
+                    new Effect.CallWorker(
+                        worker.id(), worker.instance().address(), new ReadTask(attempt))),
+            () -> poll(request, attempt, UNREACHABLE_POLL_INTERVAL));
+  }
+
+  void tick() {
+    while (!polls.isEmpty() && !context.now().isBefore(polls.peek().instant())) {
+      AttemptId attempt = polls.remove().attempt();
+      book.active(attempt.task()).ifPresent(request -> readState(request, attempt));
+    }
+    for (Request request : new ArrayList<>(book.takeOverdue())) {
+      overdue(request);
+    }
+    dispatch();
+  }
+
+  private void overdue(Request request) {
+    switch (request.phase()) {
+      case WAITING -> {
+        queue.remove(request);
+        giveUpWaiting(request);
+      }
+      case CLAIMING, AT_WORKER, AT_PEER, RESOLVING -> {
+        Reason reason =
+            request.phase() == Phase.CLAIMING ? Reason.LOG_ANSWER_LOST : Reason.ANSWER_LOST;
+        tellUnknown(request, reason);
+      }
+      case FINISHED -> {}
+      default -> throw new IllegalStateException("request phase " + request.phase());
+    }
+  }
+
+  private void tellUnknown(Request request, Reason reason) {
+    book.tellAll(
+        request, new Answer.RequestAnswer(request.id(), Outcome.UNKNOWN, reason, Optional.empty()));
+    Instant forgetAt = request.deadline().plus(context.settings().answersKept());
+    if (context.now().isBefore(forgetAt)) {
+      book.checkAgain(request, forgetAt);
+    } else {
+      book.finish(request, Outcome.UNKNOWN, reason, Optional.empty());
+    }
+  }
+
+  /** Puts a request back into the queue after a peer proved that it did not run there. */
+  void returned(Request request) {
+    waitForSlot(request);
+  }
+
+  /** Takes a request out of the queue because its outcome is known. */
+  void withdraw(Request request) {
+    queue.remove(request);
+  }
+
+  /** Tries a repeatable request elsewhere after a peer lost or failed it. */
+  boolean retryElsewhere(Request request, String why) {
+    if (!request.isRepeatable() || !mayRetry(request)) {
+      return false;
+    }
+    retry(request, why);
+    return true;
+  }
+
+  /**
+   * A moment at which the state of an attempt is read again.
+   *
+   * @param instant the moment
+   * @param attempt the attempt
+   */
+  private record Poll(Instant instant, AttemptId attempt) {}
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/EngineContext.java
@@ -0,0 +1,112 @@
+package org.hyssopport.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.platform.EntryId;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.StreamName;
+import org.hyssopport.engine.work.StreamRecord;
+import org.hyssopport.policy.Configuration;
+
+/** What all parts of one engine share: identity, settings, the time and the effects so far. */
+final class EngineContext {
+
+  private final EntryId self;
+  private final FailureDomain failureDomain;
+  private final List<FailureDomain> allDomains;
+  private final EngineSettings settings;
+  private List<Effect> effects = new ArrayList<>();
+  private Instant now = Instant.EPOCH;
+  private long lastId;
+  private boolean draining;
+  private Optional<Configuration> configuration = Optional.empty();
+
+  EngineContext(
+      EntryId self,
+      FailureDomain failureDomain,
+      List<FailureDomain> allDomains,
+      EngineSettings settings) {
+    if (!allDomains.contains(failureDomain)) {
+      throw new IllegalArgumentException(
+          "failure domain " + failureDomain + " must be one of " + allDomains);
+    }
+    this.self = self;
+    this.failureDomain = failureDomain;
+    this.allDomains = allDomains.stream().sorted().toList();
+    this.settings = settings;
+  }
+
+  EntryId self() {
+    return self;
+  }
+
+  FailureDomain failureDomain() {
+    return failureDomain;
+  }
+
+  /** Returns all failure domains of the cell, in order. */
+  List<FailureDomain> allDomains() {
+    return allDomains;
+  }
+
+  EngineSettings settings() {
+    return settings;
+  }
+
+  Instant now() {
+    return now;
+  }
+
+  void moveTo(Instant newNow) {
+    now = newNow;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  void startDraining() {
+    draining = true;
+  }
+
+  Optional<Configuration> configuration() {
+    return configuration;
+  }
+
+  void configure(Configuration newConfiguration) {
+    configuration = Optional.of(newConfiguration);
+  }
+
+  /** Returns an id that no other id of any instance equals. */
+  String newId() {
+    lastId++;
+    return self + "-" + lastId;
+  }
+
+  void emit(Effect effect) {
+    effects.add(effect);
+  }
+
+  void note(TimelineKind kind, Object subject, Object detail) {
+    emit(new Effect.Note(kind, subject.toString(), detail.toString()));
+  }
+
+  void reply(long handle, Answer answer) {
+    emit(new Effect.Reply(handle, answer));
+  }
+
+  /** Appends a record and returns its id. */
+  String append(StreamName stream, StreamRecord record) {
+    String id = newId();
+    emit(new Effect.Append(stream, id, record));
+    return id;
+  }
+
+  List<Effect> takeEffects() {
+    List<Effect> taken = effects;
+    effects = new ArrayList<>();
+    return taken;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/EntryEngine.java
@@ -0,0 +1,375 @@
+package org.hyssopport.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.PeerMessage.Envelope;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.platform.EntryId;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.StreamName;
+import org.hyssopport.engine.platform.WorkerCall;
+import org.hyssopport.engine.work.ConfigurationFold;
+import org.hyssopport.engine.work.StreamFollower.AppliedRecord;
+import org.hyssopport.engine.work.StreamRecord.StreamOwned;
+import org.hyssopport.engine.work.StreamRecord.TasksClaimed;
+
+/**
+ * Decides everything that one entry instance does.
+ *
+ * <p>It takes typed events and the time and returns typed effects. It is not safe for use by
+ * several threads. Every {@link Effect.CallWorker} must lead to one {@link Event.WorkerReplied},
+ * and every {@link Effect.Append} to one {@link Event.AppendEnded}.
+ *
+ * @since 0.1
+ * @see Event
+ * @see Effect
+ */
+public final class EntryEngine {
+
+  private final EngineContext context;
+  private final Membership membership;
+  private final Streams streams;
+  private final AppendTracker tracker;
+  private final WorkerPool pool;
+  private final RequestBook book;
+  private final Forwarder forwarder;
+  private final Dispatcher dispatcher;
+  private final KeyDesk keys;
+  private final RequestDesk requests;
+  private final ConfigurationKeeper configuration;
+  private final StreamKeeper owners;
+  private final OpenAttempts open;
+  private final AttemptKeeper attempts;
+  private final BatchScheduler batch;
+  private final GangScheduler gangs;
+  private final JobDesk jobs;
+  private Instant nextHeadroomNotice = Instant.EPOCH;
+  private int advertisedShortSlots;
+  private boolean drainedSaid;
+
+  private EntryEngine(EngineContext context) {
+    this.context = context;
+    membership = new Membership(context);
+    streams = new Streams(context.settings().streams());
+    tracker = new AppendTracker(context);
+    pool = new WorkerPool(context, membership);
+    book = new RequestBook(context, membership);
+    forwarder = new Forwarder(context, membership, book);
+    OutlierEjection ejection = new OutlierEjection(context, pool);
+    dispatcher = new Dispatcher(context, pool, book, forwarder, ejection);
+    keys = new KeyDesk(context, streams, tracker, book);
+    keys.runWith(dispatcher::enqueue);
+    requests = new RequestDesk(context, book, dispatcher, forwarder, keys, pool);
+    configuration = new ConfigurationKeeper(context, streams, tracker, membership);
+    owners = new StreamKeeper(context, streams, membership);
+    open = new OpenAttempts(streams);
+    attempts = new AttemptKeeper(context, streams, pool, open, ejection, membership);
+    pool.observe(attempts);
+    batch =
+        new BatchScheduler(
+            context, streams, owners, membership, pool, open, attempts, tracker, dispatcher);
+    gangs = new GangScheduler(context, streams, owners, membership, pool, tracker, batch);
+    jobs = new JobDesk(context, streams, tracker, membership, open);
+  }
+
+  /**
+   * Returns an engine that knows nothing yet.
+   *
+   * @param self this run of the instance
+   * @param failureDomain where it stands
+   * @param allDomains all failure domains of the cell
+   * @param settings the settings
+   */
+  public static EntryEngine create(
+      EntryId self,
+      FailureDomain failureDomain,
+      List<FailureDomain> allDomains,
+      EngineSettings settings) {
+    return new EntryEngine(new EngineContext(self, failureDomain, allDomains, settings));
+  }
+
+  /** Returns the streams that must be read for this engine. */
+  public List<StreamName> followedStreams() {
+    return streams.names();
+  }
+
+  /** Tells whether the instance may get requests: it has a configuration and is not leaving. */
+  public boolean isReady() {
+    return configuration.version() != ConfigurationFold.NO_VERSION && !context.isDraining();
+  }
+
+  /**
+   * Takes one event.
+   *
+   * @param event what happened
+   * @param now the time, which must never go back
+   * @return what must be done, in order
+   */
+  public List<Effect> handle(Event event, Instant now) {
+    context.moveTo(now.isBefore(context.now()) ? context.now() : now);
+    apply(event);
+    if (!(event instanceof Event.Ticked)) {
+      dispatcher.dispatch();
+    }
+    announceHeadroomIfWanted();
+    return context.takeEffects();
+  }
+
+  private void apply(Event event) {
+    if (event instanceof Event.Ticked) {
+      tick();
+    } else if (event instanceof Event.WorkerReplied replied) {
+      workerReplied(replied);
+    } else if (event instanceof Event.PeerMessageReceived received) {
+      peerMessage(received.envelope());
+    } else if (event instanceof Event.StreamRead read) {
+      streamRead(read);
+    } else if (event instanceof Event.AppendEnded ended) {
+      tracker.ended(ended);
+    } else if (event instanceof Event.LiveListRead listed) {
+      membership.read(listed.list());
+      pool.listWorkers();
+    } else if (event instanceof Event.DrainRequested) {
+      drain();
+    } else {
+      applyRequest(event);
+    }
+  }
+
+  private void applyRequest(Event event) {
+    if (event instanceof Event.RequestReceived received) {
+      requests.receive(received.handle(), received.request());
+    } else if (event instanceof Event.RequestQueried queried) {
+      requests.query(queried.handle(), queried.requestId());
+    } else if (event instanceof Event.TicketRequested ticket) {
+      requests.issueTicket(ticket.handle());
+    } else if (event instanceof Event.JobSubmitted submitted) {
+      jobs.submit(submitted.handle(), submitted.submission());
+    } else if (event instanceof Event.JobQueried queried) {
+      jobs.query(queried.handle(), queried.job());
+    } else if (event instanceof Event.JobsQueried queried) {
+      jobs.list(queried.handle());
+    } else if (event instanceof Event.JobsCancelled cancelled) {
+      jobs.cancel(cancelled.handle(), cancelled.jobs());
+    } else if (event instanceof Event.ConfigurationPublished published) {
+      configuration.publish(published);
+    } else if (event instanceof Event.ConfigurationQueried queried) {
+      configuration.query(queried.handle());
+    } else if (event instanceof Event.StatusQueried queried) {
+      context.reply(queried.handle(), new Answer.StatusAnswer(status()));
+    }
+  }
+
+  private void tick() {
+    sendHeartbeatsIfDue();
+    membership.tick();
+    pool.tick();
+    requests.tick();
+    dispatcher.tick();
+    tracker.tick();
+    keys.tick();
+    configuration.tick();
+    owners.tick();
+    attempts.tick();
+    batch.tick();
+    gangs.tick();
+    if (context.isDraining()) {
+      continueDraining();
+    }
+  }
+
+  private void sendHeartbeatsIfDue() {
+    if (membership.isHeartbeatDue()) {
+      membership.peers().forEach(this::sendHeartbeat);
+    }
+  }
+
+  private void sendHeartbeat(Membership.Peer peer) {
+    advertisedShortSlots = pool.freeSlots(Lane.SHORT);
+    PeerMessage.Heartbeat heartbeat =
+        new PeerMessage.Heartbeat(
+            context.failureDomain(),
+            context.now(),
+            context.isDraining(),
+            configuration.version(),
+            advertisedShortSlots,
+            pool.freeSlots(Lane.LONG),
+            dispatcher.waiting());
+    send(peer, Optional.empty(), heartbeat);
+  }
+
+  private void send(Membership.Peer peer, Optional<EntryId> receiver, PeerMessage message) {
+    context.emit(
+        new Effect.SendToPeer(peer.address(), new Envelope(context.self(), receiver, message)));
+  }
+
+  /** Tells peers with waiting requests at once that slots became free here. */
+  private void announceHeadroomIfWanted() {
+    boolean checked = advertisedShortSlots == 0 && !context.now().isBefore(nextHeadroomNotice);
+    if (!checked || dispatcher.waiting() > 0 || pool.freeSlots(Lane.SHORT) == 0) {
+      return;
+    }
+    nextHeadroomNotice = context.now().plus(context.settings().heartbeatInterval().dividedBy(50));
+    for (Membership.Peer peer : membership.peers()) {
+      if (peer.hasWaiting() && peer.domain().equals(context.failureDomain())) {
+        sendHeartbeat(peer);
+      }
+    }
+  }
+
+  private void workerReplied(Event.WorkerReplied event) {
+    WorkerCall call = event.call();
+    Optional<AttemptId> attempt = call.aboutAttempt();
+    if (attempt.isEmpty()) {
+      pool.replied(event.worker(), call, event.reply());
+      return;
+    }
+    Optional<HeldWorker> worker = pool.worker(event.worker());
+    if (worker.isEmpty()) {
+      return;
+    }
+    boolean kept = streams.job(jobOf(attempt.get())).isPresent();
+    if (kept) {
+      attempts.replied(worker.get(), call, attempt.get(), event.reply());
+    } else {
+      dispatcher.replied(worker.get(), call, attempt.get(), event.reply());
+    }
+  }
+
+  private static String jobOf(AttemptId attempt) {
+    int slash = attempt.task().lastIndexOf('/');
+    return slash < 0 ? attempt.task() : attempt.task().substring(0, slash);
+  }
+
+  private void peerMessage(Envelope envelope) {
+    boolean forOther =
+        envelope.receiver().map(receiver -> !receiver.equals(context.self())).orElse(false);
+    if (forOther || envelope.sender().name().equals(context.self().name())) {
+      return;
+    }
+    EntryId sender = envelope.sender();
+    PeerMessage message = envelope.message();
+    if (message instanceof PeerMessage.Heartbeat heartbeat) {
+      membership.hear(sender, heartbeat);
+      membership.peer(sender).ifPresent(configuration::compare);
+    } else if (message instanceof PeerMessage.Forward forward) {
+      requests.receiveForwarded(sender, forward);
+    } else if (message instanceof PeerMessage.ForwardDeclined declined) {
+      requests.declined(sender, declined);
+    } else if (message instanceof PeerMessage.ForwardAnswered answered) {
+      requests.answered(sender, answered);
+    } else if (message instanceof PeerMessage.ForwardQuery query) {
+      forwarder.queried(sender, query);
+    } else if (message instanceof PeerMessage.ConfigurationWanted) {
+      configuration.wanted(sender);
+    } else if (message instanceof PeerMessage.ConfigurationOffered offer) {
+      configuration.offered(offer);
+    } else if (message instanceof PeerMessage.WorkerReleased released) {
+      pool.releasedByPeer(released.worker());
+    } else if (message instanceof PeerMessage.ReserveTasks ask) {
+      gangs.asked(sender, ask);
+    } else if (message instanceof PeerMessage.TasksReserved reserved) {
+      gangs.reserved(sender, reserved);
+    } else if (message instanceof PeerMessage.ReservationCancelled cancelled) {
+      gangs.cancelled(cancelled);
+    }
+  }
+
+  private void streamRead(Event.StreamRead read) {
+    Optional<Integer> index = streams.indexOf(read.stream());
+    boolean known = index.map(each -> streams.work(each).isEstablished()).orElse(true);
+    boolean gap =
+        index.map(each -> read.firstRetained() > streams.work(each).nextOffset()).orElse(false);
+    List<AppliedRecord> applied = streams.take(read);
+    configuration.readFromLog();
+    boolean restored = !known || gap;
+    if (restored) {
+      index.ifPresent(open::rebuild);
+    }
+    for (AppliedRecord each : applied) {
+      if (each.valid() && each.record() instanceof TasksClaimed claim) {
+        gangs.claimed(claim);
+      }
+      if (each.valid()) {
+        noteOwner(read.stream(), each);
+      }
+    }
+    if (!restored) {
+      attempts.applied(applied);
+    }
+    keys.applied(applied);
+    jobs.applied(applied);
+    tracker.applied(applied);
+  }
+
+  private void noteOwner(StreamName stream, AppliedRecord each) {
+    if (each.record() instanceof StreamOwned owned) {
+      context.note(TimelineKind.STREAM_OWNED, stream, owned.failureDomain());
+    }
+  }
+
+  private void drain() {
+    if (context.isDraining()) {
+      return;
+    }
+    context.startDraining();
+    context.note(TimelineKind.DRAIN_STARTED, context.self(), book.activeCount() + " requests");
+    membership.peers().forEach(this::sendHeartbeat);
+  }
+
+  private void continueDraining() {
+    boolean idle =
+        book.openAskers() == 0
+            && dispatcher.waiting() == 0
+            && batch.isIdle()
+            && gangs.isIdle()
+            && attempts.isIdle()
+            && keys.isIdle();
+    if (!idle) {
+      return;
+    }
+    pool.releaseAll();
+    if (!pool.holdsAny() && !drainedSaid) {
+      drainedSaid = true;
+      context.note(TimelineKind.DRAIN_ENDED, context.self(), "nothing left in flight");
+      context.emit(new Effect.Drained());
+    }
+  }
+
+  private StatusView status() {
+    List<String> heard = new ArrayList<>();
+    for (Membership.Peer peer : membership.peers()) {
+      if (peer.isHeard(context.now(), context.settings())) {
+        heard.add(peer.name());
+      }
+    }
+    List<StatusView.WorkerLine> lines = new ArrayList<>();
+    int suspects = 0;
+    for (HeldWorker worker : pool.workers()) {
+      suspects += worker.isClockSuspect() ? 1 : 0;
+      lines.add(
+          new StatusView.WorkerLine(
+              worker.id().name(),
+              worker.state().name(),
+              worker.ledger().usedSlots(),
+              worker.instance().slots(),
+              worker.health().isEjected(),
+              worker.isLeaving(),
+              worker.otherHolder().map(EntryId::toString)));
+    }
+    return new StatusView(
+        context.self().toString(),
+        context.failureDomain().name(),
+        isReady(),
+        context.isDraining(),
+        configuration.version(),
+        heard,
+        lines,
+        dispatcher.waiting(),
+        book.activeCount() - dispatcher.waiting(),
+        jobs.unfinished(),
+        suspects);
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Forwarder.java
@@ -0,0 +1,294 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.Membership.Peer;
+import org.hyssopport.engine.PeerMessage.Envelope;
+import org.hyssopport.engine.PeerMessage.Forward;
+import org.hyssopport.engine.PeerMessage.ForwardAnswered;
+import org.hyssopport.engine.PeerMessage.ForwardDeclined;
+import org.hyssopport.engine.PeerMessage.ForwardQuery;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.platform.EntryId;
+
+/**
+ * Passes requests on to the holder with the most free slots, in this failure domain first.
+ *
+ * <p>A request crosses one hop at most. The asker keeps it until the peer answers; a lost answer is
+ * asked for again, and a peer that never saw the request refuses it from then on.
+ */
+final class Forwarder {
+
+  private static final Duration FIRST_QUERY_DELAY = Duration.ofMillis(400);
+  private static final Duration QUERY_INTERVAL = Duration.ofMillis(250);
+
+  private final EngineContext context;
+  private final Membership membership;
+  private final RequestBook book;
+  private final Map<AttemptId, Outstanding> outstanding = new LinkedHashMap<>();
+  private final Map<AttemptId, Received> received = new LinkedHashMap<>();
+  private final Map<AttemptId, Long> remoteQueries = new HashMap<>();
+  private Instant nextCheck = Instant.EPOCH;
+
+  Forwarder(EngineContext context, Membership membership, RequestBook book) {
+    this.context = context;
+    this.membership = membership;
+    this.book = book;
+  }
+
+  /** Passes a request on if some peer seems to have a free slot. */
+  boolean forward(Request request, Lane lane) {
+    if (!request.mayBeForwarded()) {
+      return false;
+    }
+    Optional<Peer> chosen = choose(request, lane);
+    chosen.ifPresent(peer -> send(request, peer));
+    return chosen.isPresent();
+  }
+
+  private Optional<Peer> choose(Request request, Lane lane) {
+    Comparator<Peer> byFreeSlots = Comparator.comparingInt(peer -> peer.freeSlots(lane));
+    List<Peer> usable =
+        membership.peers().stream()
+            .filter(peer -> peer.isHeard(context.now(), context.settings()))
+            .filter(peer -> !peer.isDraining() && peer.freeSlots(lane) > 0)
+            .filter(peer -> !request.avoids(peer.name()))
+            .toList();
+    Optional<Peer> near =
+        usable.stream()
+            .filter(peer -> peer.domain().equals(context.failureDomain()))
+            .max(byFreeSlots);
+    return near.or(() -> usable.stream().max(byFreeSlots));
+  }
+
+  private void send(Request request, Peer peer) {
+    EntryId id = peer.id().orElseThrow();
+    AttemptId attempt = request.sentTo(id);
+    peer.takeSlot();
+    context.note(TimelineKind.REQUEST_FORWARDED, attempt, id);
+    Forward message = new Forward(attempt, withoutTicket(request.stated()), false);
+    track(attempt, id, message);
+    emit(peer, message);
+  }
+
+  private static ServiceRequest withoutTicket(ServiceRequest stated) {
+    return new ServiceRequest(
+        stated.service(),
+        stated.deadline(),
+        stated.repeatable(),
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        stated.body());
+  }
+
+  /** Sends a request to the issuer of its ticket, if that incarnation is heard. */
+  boolean forwardToIssuer(Request request, EntryId issuer) {
+    Optional<Peer> peer = membership.peer(issuer);
+    if (peer.isEmpty()) {
+      return false;
+    }
+    AttemptId attempt = request.sentTo(issuer);
+    request.noteMayHaveRun();
+    context.note(TimelineKind.REQUEST_FORWARDED, attempt, issuer);
+    Forward message = new Forward(attempt, request.stated(), true);
+    track(attempt, issuer, message);
+    emit(peer.get(), message);
+    return true;
+  }
+
+  /** Asks the instance that gave out a request id for the outcome. */
+  boolean queryIssuer(long handle, String requestId, EntryId issuer) {
+    Optional<Peer> peer = membership.peer(issuer);
+    peer.ifPresent(
+        found -> {
+          AttemptId query = new AttemptId(requestId, 0);
+          remoteQueries.put(query, handle);
+          emit(found, new ForwardQuery(query));
+        });
+    return peer.isPresent();
+  }
+
+  private void track(AttemptId attempt, EntryId peer, Forward message) {
+    Instant next = context.now().plus(FIRST_QUERY_DELAY);
+    outstanding.put(attempt, new Outstanding(peer, message, next));
+  }
+
+  private void emit(Peer peer, PeerMessage message) {
+    context.emit(
+        new Effect.SendToPeer(peer.address(), new Envelope(context.self(), peer.id(), message)));
+  }
+
+  private void emit(EntryId receiver, PeerMessage message) {
+    membership.peer(receiver).ifPresent(peer -> emit(peer, message));
+  }
+
+  /** Takes a declined request back, and returns it if it is still the asker's current attempt. */
+  Optional<Request> declined(EntryId sender, ForwardDeclined message) {
+    membership
+        .peer(sender)
+        .ifPresent(peer -> peer.update(message.freeShortSlots(), message.freeLongSlots()));
+    Long handle = remoteQueries.remove(message.attempt());
+    if (handle != null) {
+      context.reply(handle, Answers.notFound("request", message.attempt().task()));
+      return Optional.empty();
+    }
+    outstanding.remove(message.attempt());
+    return currentAt(message.attempt(), sender);
+  }
+
+  /** Takes a peer's outcome, and returns the request if that is still the current attempt. */
+  Optional<Request> answered(EntryId sender, ForwardAnswered message) {
+    Long handle = remoteQueries.remove(message.attempt());
+    if (handle != null) {
+      context.reply(
+          handle,
+          new Answer.RequestAnswer(
+              message.attempt().task(), message.outcome(), message.reason(), message.body()));
+      return Optional.empty();
+    }
+    if (message.outcome() != Outcome.UNKNOWN) {
+      outstanding.remove(message.attempt());
+    }
+    if (message.outcome() == Outcome.DONE) {
+      return book.active(message.attempt().task());
+    }
+    return currentAt(message.attempt(), sender);
+  }
+
+  private Optional<Request> currentAt(AttemptId attempt, EntryId sender) {
+    return book.active(attempt.task())
+        .filter(request -> request.currentAttempt().equals(attempt))
+        .filter(request -> request.phase() == Request.Phase.AT_PEER)
+        .filter(request -> request.peer().equals(Optional.of(sender)));
+  }
+
+  /**
+   * Notes a request that a peer passed on, before it is started here.
+   *
+   * @return false if it was seen or refused before
+   */
+  boolean accept(EntryId sender, Forward message) {
+    Received known = received.get(message.attempt());
+    if (known == null) {
+      Instant deadline = message.request().deadline().orElse(context.now());
+      Instant forgetAt = deadline.plus(context.settings().answersKept());
+      received.put(message.attempt(), new Received(Optional.empty(), forgetAt));
+      return true;
+    }
+    if (known.requestId().isEmpty()) {
+      decline(sender, message.attempt(), 0, 0);
+    }
+    return false;
+  }
+
+  void started(Forward message, String requestId) {
+    Received known = received.get(message.attempt());
+    received.put(message.attempt(), new Received(Optional.of(requestId), known.forgetAt()));
+  }
+
+  void decline(EntryId sender, AttemptId attempt, int freeShortSlots, int freeLongSlots) {
+    emit(sender, new ForwardDeclined(attempt, freeShortSlots, freeLongSlots));
+  }
+
+  /** Answers a peer that asks again. */
+  void queried(EntryId sender, ForwardQuery query) {
+    if (query.attempt().number() == 0) {
+      answerByRequestId(sender, query.attempt());
+      return;
+    }
+    Received known = received.get(query.attempt());
+    if (known == null || known.requestId().isEmpty()) {
+      Instant forgetAt = context.now().plus(context.settings().answersKept());
+      received.put(query.attempt(), new Received(Optional.empty(), forgetAt));
+      decline(sender, query.attempt(), 0, 0);
+      return;
+    }
+    book.finished(known.requestId().get())
+        .ifPresent(answer -> emit(sender, toMessage(query.attempt(), answer)));
+  }
+
+  private void answerByRequestId(EntryId sender, AttemptId query) {
+    Optional<Answer.RequestAnswer> answer =
+        book.finished(query.task())
+            .or(() -> book.active(query.task()).map(request -> unfinished(query.task())));
+    answer.ifPresentOrElse(
+        known -> emit(sender, toMessage(query, known)), () -> decline(sender, query, 0, 0));
+  }
+
+  private static Answer.RequestAnswer unfinished(String requestId) {
+    return new Answer.RequestAnswer(
+        requestId, Outcome.UNKNOWN, Reason.UNFINISHED, Optional.empty());
+  }
+
+  private static ForwardAnswered toMessage(AttemptId attempt, Answer.RequestAnswer answer) {
+    return new ForwardAnswered(attempt, answer.outcome(), answer.reason(), answer.body(), 0);
+  }
+
+  /** Asks again for outstanding answers; returns the requests whose peer is gone. */
+  List<Request> tick() {
+    if (context.now().isBefore(nextCheck)) {
+      return List.of();
+    }
+    nextCheck = context.now().plus(QUERY_INTERVAL.dividedBy(5));
+    received.values().removeIf(known -> context.now().isAfter(known.forgetAt()));
+    List<Request> orphaned = new java.util.ArrayList<>();
+    Iterator<Map.Entry<AttemptId, Outstanding>> entries = outstanding.entrySet().iterator();
+    while (entries.hasNext()) {
+      Map.Entry<AttemptId, Outstanding> entry = entries.next();
+      Optional<Request> request = book.active(entry.getKey().task());
+      if (request.isEmpty()) {
+        entries.remove();
+      } else if (!context.now().isBefore(entry.getValue().nextQuery())) {
+        askAgain(entry, request.get(), orphaned);
+      }
+    }
+    return orphaned;
+  }
+
+  private void askAgain(
+      Map.Entry<AttemptId, Outstanding> entry, Request request, List<Request> orphaned) {
+    Outstanding waiting = entry.getValue();
+    entry.setValue(waiting.nextAt(context.now().plus(QUERY_INTERVAL)));
+    Optional<Peer> peer = membership.peer(waiting.peer());
+    boolean current = request.currentAttempt().equals(entry.getKey());
+    if (peer.isEmpty() && current && request.phase() == Request.Phase.AT_PEER) {
+      request.noteMayHaveRun();
+      request.avoid(waiting.peer().name());
+      orphaned.add(request);
+    } else if (peer.isPresent() && waiting.message().byTicket()) {
+      emit(peer.get(), waiting.message());
+    } else {
+      peer.ifPresent(found -> emit(found, new ForwardQuery(entry.getKey())));
+    }
+  }
+
+  /**
+   * A request that was passed on and not answered yet.
+   *
+   * @param peer who has it
+   * @param message the message that passed it on
+   * @param nextQuery when to ask again
+   */
+  private record Outstanding(EntryId peer, Forward message, Instant nextQuery) {
+
+    Outstanding nextAt(Instant instant) {
+      return new Outstanding(peer, message, instant);
+    }
+  }
+
+  /**
+   * A request that a peer passed on.
+   *
+   * @param requestId the request that runs for it here, or nothing if it is refused
+   * @param forgetAt when it may be forgotten
+   */
+  private record Received(Optional<String> requestId, Instant forgetAt) {}
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/JobDesk.java
@@ -0,0 +1,376 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.Answer.JobAnswer;
+import org.hyssopport.engine.Answer.JobsAnswer;
+import org.hyssopport.engine.Answer.RefusalKind;
+import org.hyssopport.engine.work.CloseCause;
+import org.hyssopport.engine.work.Job;
+import org.hyssopport.engine.work.JobSpec;
+import org.hyssopport.engine.work.StreamFollower.AppliedRecord;
+import org.hyssopport.engine.work.StreamRecord.JobAccepted;
+import org.hyssopport.engine.work.StreamRecord.JobCancelled;
+import org.hyssopport.engine.work.StreamRecord.TaskClosed;
+import org.hyssopport.engine.work.TaskEntry;
+import org.hyssopport.policy.Configuration;
+import org.hyssopport.policy.Finding;
+import org.hyssopport.policy.Resources;
+import org.hyssopport.policy.WorkClass;
+import org.hyssopport.policy.WorkKind;
+
+/** Takes jobs in, tells how they stand, and cancels them. */
+final class JobDesk {
+
+  private static final Duration LOG_PATIENCE = Duration.ofSeconds(5);
+  private static final int LONGEST_ID = 100;
+  private static final int MOST_LISTED = 500;
+
+  private final EngineContext context;
+  private final Streams streams;
+  private final AppendTracker tracker;
+  private final Membership membership;
+  private final OpenAttempts open;
+  private int nextStream;
+
+  JobDesk(
+      EngineContext context,
+      Streams streams,
+      AppendTracker tracker,
+      Membership membership,
+      OpenAttempts open) {
+    this.context = context;
+    this.streams = streams;
+    this.tracker = tracker;
+    this.membership = membership;
+    this.open = open;
+  }
+
+  void submit(long handle, JobSubmission submission) {
+    if (context.isDraining() || context.configuration().isEmpty()) {
+      Reason reason = context.isDraining() ? Reason.DRAINING : Reason.NOT_READY;
+      context.reply(handle, Answers.unavailable(reason));
+      return;
+    }
+    Configuration configuration = context.configuration().get();
+    List<Finding> findings = check(submission, configuration);
+    if (!findings.isEmpty()) {
+      boolean unknown = configuration.classNamed(submission.className()).isEmpty();
+      RefusalKind kind = unknown ? RefusalKind.NOT_FOUND : RefusalKind.INVALID;
+      context.reply(handle, new Answer.Refused(kind, findings));
+      return;
+    }
+    WorkClass workClass = configuration.classNamed(submission.className()).orElseThrow();
+    accept(handle, specOf(submission, workClass));
+  }
+
+  private List<Finding> check(JobSubmission submission, Configuration configuration) {
+    List<Finding> findings = new ArrayList<>();
+    submission.id().ifPresent(id -> checkId(id, findings));
+    Optional<WorkClass> found = configuration.classNamed(submission.className());
+    if (found.isEmpty()) {
+      findings.add(new Finding("class", "is not known: " + submission.className()));
+      return findings;
+    }
+    if (!found.get().kind().isKept()) {
+      findings.add(new Finding("class", "is a service; send it as a request"));
+    }
+    long most =
+        Math.min(found.get().kind().maximumTasks(), configuration.limits().maximumTasksPerJob());
+    if (submission.tasks() < 1 || submission.tasks() > most) {
+      String range = "must be from 1 to " + most + ", but is " + submission.tasks();
+      findings.add(new Finding("tasks", range));
+    }
+    if (submission.payload().length() > configuration.limits().maximumBodyBytes()) {
+      String limit = "is over " + configuration.limits().maximumBodyBytes() + " bytes";
+      findings.add(new Finding("payload", limit));
+    }
+    boolean late = submission.deadline().map(at -> !context.now().isBefore(at)).orElse(false);
+    if (late) {
+      findings.add(new Finding("deadline", "has passed: " + submission.deadline().get()));
+    }
+    checkResources(submission, found.get(), configuration, findings);
+    return findings;
+  }
+
+  private static void checkId(String id, List<Finding> findings) {
+    boolean wellFormed = id.length() <= LONGEST_ID && id.matches("[A-Za-z0-9][A-Za-z0-9_.-]*");
+    if (!wellFormed || Streams.isGivenId(id)) {
+      String rule = "must be at most 100 of A-Z, a-z, 0-9, _, . and -, but is " + id;
+      findings.add(new Finding("id", rule));
+    }
+  }
+
+  private void checkResources(
+      JobSubmission submission,
+      WorkClass workClass,
+      Configuration configuration,
+      List<Finding> findings) {
+    Resources wanted = submission.resources().orElse(workClass.resources());
+    if (!wanted.fitsIn(configuration.limits().maximumTask())) {
+      findings.add(new Finding("resources", "are over the limit for one task: " + wanted));
+    } else if (!membership.couldHold(wanted)) {
+      findings.add(new Finding("resources", "fit on no worker of the cell: " + wanted));
+    }
+    int together = workClass.kind() == WorkKind.GANG ? submission.tasks() : 1;
+    configuration
+        .teamNamed(workClass.team())
+        .filter(team -> !wanted.times(together).fitsIn(team.quota()))
+        .ifPresent(
+            team ->
+                findings.add(
+                    new Finding("resources", "can never fit the quota of " + team.name())));
+  }
+
+  private JobSpec specOf(JobSubmission submission, WorkClass workClass) {
+    nextStream = (nextStream + 1) % streams.count();
+    String id = submission.id().orElseGet(() -> Streams.givenId(nearStream(), context.newId()));
+    return new JobSpec(
+        id,
+        workClass.name(),
+        workClass.kind(),
+        workClass.team(),
+        submission.resources().orElse(workClass.resources()),
+        submission.tasks(),
+        submission.payload(),
+        submission.deadline().orElse(context.now().plus(workClass.patience())),
+        context.now(),
+        (int) workClass.maximumAttempts());
+  }
+
+  /** Returns a stream that this failure domain decides for, or any if there is none. */
+  private int nearStream() {
+    for (int step = 0; step < streams.count(); step++) {
+      int index = (nextStream + step) % streams.count();
+      boolean near = streams.fold(index).owner().equals(Optional.of(context.failureDomain()));
+      if (near) {
+        return index;
+      }
+    }
+    return nextStream;
+  }
+
+  private void accept(long handle, JobSpec spec) {
+    Optional<Job> known = streams.job(spec.id());
+    if (known.isPresent()) {
+      replyRepeated(handle, known.get(), spec);
+      return;
+    }
+    tracker.append(
+        streams.name(streams.home(spec.id())),
+        new JobAccepted(spec),
+        context.now().plus(LOG_PATIENCE),
+        new SubmitListener(handle, spec));
+  }
+
+  private void replyRepeated(long handle, Job known, JobSpec spec) {
+    boolean same =
+        known.spec().className().equals(spec.className())
+            && known.spec().tasks() == spec.tasks()
+            && known.spec().payload().equals(spec.payload());
+    context.reply(
+        handle,
+        same
+            ? new JobAnswer(viewOf(known))
+            : Answers.refused(
+                RefusalKind.CONFLICT, "id", "is in use by another job: " + spec.id()));
+  }
+
+  void query(long handle, String id) {
+    Answer answer =
+        streams
+            .job(id)
+            .<Answer>map(job -> new JobAnswer(viewOf(job)))
+            .orElseGet(() -> Answers.notFound("job", id));
+    context.reply(handle, answer);
+  }
+
+  void list(long handle) {
+    List<JobView> views = new ArrayList<>();
+    for (int index = 0; index < streams.count(); index++) {
+      for (Job job : streams.fold(index).jobs()) {
+        if (views.size() < MOST_LISTED) {
+          views.add(viewOf(job));
+        }
+      }
+    }
+    context.reply(handle, new JobsAnswer(views));
+  }
+
+  void cancel(long handle, List<String> ids) {
+    List<Finding> findings = new ArrayList<>();
+    for (int index = 0; index < ids.size(); index++) {
+      if (streams.job(ids.get(index)).isEmpty()) {
+        findings.add(new Finding("jobs[" + index + "]", "is not known: " + ids.get(index)));
+      }
+    }
+    if (!findings.isEmpty() || ids.isEmpty()) {
+      context.reply(handle, new Answer.Refused(RefusalKind.NOT_FOUND, findings));
+      return;
+    }
+    CancelListener listener = new CancelListener(handle, ids);
+    for (String id : ids) {
+      tracker.append(
+          streams.name(streams.home(id)),
+          new JobCancelled(id),
+          context.now().plus(LOG_PATIENCE),
+          listener);
+    }
+  }
+
+  /** Notes the jobs that have ended. */
+  void applied(List<AppliedRecord> records) {
+    for (AppliedRecord each : records) {
+      if (each.valid() && each.record() instanceof TaskClosed closed) {
+        streams
+            .job(closed.job())
+            .filter(Job::isEnded)
+            .ifPresent(
+                job ->
+                    context.note(
+                        TimelineKind.JOB_ENDED, closed.job(), viewOf(job).outcome().get()));
+      }
+    }
+  }
+
+  int unfinished() {
+    int count = 0;
+    for (int index = 0; index < streams.count(); index++) {
+      count += streams.fold(index).unfinishedJobs().size();
+    }
+    return count;
+  }
+
+  int openAttempts() {
+    return open.all().size();
+  }
+
+  static JobView viewOf(Job job) {
+    int done = 0;
+    int running = 0;
+    for (int index = 0; index < job.size(); index++) {
+      TaskEntry task = job.task(index);
+      done += task.lastCause().equals(Optional.of(CloseCause.DONE)) ? 1 : 0;
+      running += task.phase() == TaskEntry.Phase.OPEN ? 1 : 0;
+    }
+    int waiting = job.count(TaskEntry.Phase.WAITING) + job.count(TaskEntry.Phase.SETTLED);
+    Optional<Outcome> outcome =
+        job.isEnded() ? Optional.of(outcomeOf(job, done)) : Optional.empty();
+    JobView.State state =
+        job.isEnded()
+            ? JobView.State.ENDED
+            : running > 0 ? JobView.State.RUNNING : JobView.State.WAITING;
+    return new JobView(
+        job.spec().id(),
+        job.spec().className(),
+        state,
+        outcome,
+        outcome.map(each -> reasonOf(job, each)).orElse(Reason.UNFINISHED),
+        job.size(),
+        waiting,
+        running,
+        done,
+        job.acceptedAt());
+  }
+
+  private static Outcome outcomeOf(Job job, int done) {
+    if (done == job.size()) {
+      return Outcome.DONE;
+    }
+    boolean anyRan = false;
+    for (int index = 0; index < job.size(); index++) {
+      anyRan = anyRan || job.task(index).everRan();
+    }
+    return anyRan ? Outcome.FAILED : Outcome.NOT_RUN;
+  }
+
+  private static Reason reasonOf(Job job, Outcome outcome) {
+    if (outcome == Outcome.DONE) {
+      return Reason.COMPLETED;
+    }
+    return job.isCancelled() ? Reason.CANCELLED : Reason.ATTEMPTS_USED_UP;
+  }
+
+  /** Tells the caller what became of a submission. */
+  private final class SubmitListener implements AppendTracker.Listener {
+
+    private final long handle;
+    private final JobSpec spec;
+
+    private SubmitListener(long handle, JobSpec spec) {
+      this.handle = handle;
+      this.spec = spec;
+    }
+
+    @Override
+    public void applied(boolean valid) {
+      Job job = streams.job(spec.id()).orElseThrow();
+      if (valid) {
+        context.note(TimelineKind.JOB_ACCEPTED, spec.id(), spec.className());
+        context.reply(handle, new JobAnswer(viewOf(job)));
+      } else {
+        replyRepeated(handle, job, spec);
+      }
+    }
+
+    @Override
+    public void refused() {
+      context.reply(handle, Answers.unavailable(Reason.LOG_UNAVAILABLE));
+    }
+
+    @Override
+    public void expired() {
+      String text = Reason.LOG_ANSWER_LOST.text() + ": " + spec.id();
+      context.reply(handle, Answers.refused(RefusalKind.UNKNOWN_OUTCOME, "id", text));
+    }
+  }
+
+  /** Tells the caller what became of a cancellation of several jobs. */
+  private final class CancelListener implements AppendTracker.Listener {
+
+    private final long handle;
+    private final List<String> ids;
+    private int missing;
+    private boolean failed;
+
+    private CancelListener(long handle, List<String> ids) {
+      this.handle = handle;
+      this.ids = ids;
+      this.missing = ids.size();
+    }
+
+    @Override
+    public void applied(boolean valid) {
+      endOne();
+    }
+
+    @Override
+    public void refused() {
+      failed = true;
+      endOne();
+    }
+
+    @Override
+    public void expired() {
+      failed = true;
+      endOne();
+    }
+
+    private void endOne() {
+      missing--;
+      if (missing > 0) {
+        return;
+      }
+      if (failed) {
+        String text = Reason.LOG_ANSWER_LOST.text();
+        context.reply(handle, Answers.refused(RefusalKind.UNKNOWN_OUTCOME, "jobs", text));
+        return;
+      }
+      List<JobView> views = new ArrayList<>();
+      ids.forEach(id -> streams.job(id).ifPresent(job -> views.add(viewOf(job))));
+      context.reply(handle, new JobsAnswer(views));
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/KeyDesk.java
@@ -0,0 +1,196 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hyssopport.engine.Request.KeyUse;
+import org.hyssopport.engine.Request.Phase;
+import org.hyssopport.engine.work.CloseCause;
+import org.hyssopport.engine.work.KeyEntry;
+import org.hyssopport.engine.work.StreamFollower.AppliedRecord;
+import org.hyssopport.engine.work.StreamRecord.KeyClaimed;
+import org.hyssopport.engine.work.StreamRecord.KeyClosed;
+
+/**
+ * Runs requests with a caller's own key at most once: the first valid claim in the log runs.
+ *
+ * <p>Whoever meets a key that another request claimed waits for that request's outcome and gives
+ * the same one. Without the log the outcome is unknown, since another instance may have run it.
+ */
+final class KeyDesk {
+
+  private static final int LONGEST_KEPT_ANSWER = 8192;
+  private static final Duration CLOSE_RETRY_INTERVAL = Duration.ofSeconds(2);
+
+  private final EngineContext context;
+  private final Streams streams;
+  private final AppendTracker tracker;
+  private final RequestBook book;
+  private final Map<String, List<Request>> waiters = new HashMap<>();
+  private final Map<String, PendingClose> closes = new LinkedHashMap<>();
+  private Consumer<Request> runner = request -> {};
+
+  KeyDesk(EngineContext context, Streams streams, AppendTracker tracker, RequestBook book) {
+    this.context = context;
+    this.streams = streams;
+    this.tracker = tracker;
+    this.book = book;
+    book.onFinish(this::closeKey);
+  }
+
+  /** Names what runs a request whose key was claimed. */
+  void runWith(Consumer<Request> newRunner) {
+    runner = newRunner;
+  }
+
+  void receive(Request request, Optional<Reason> refusal) {
+    request.moveTo(Phase.CLAIMING);
+    String key = request.stated().fullKey().orElseThrow();
+    int home = streams.home(key);
+    if (!streams.work(home).isEstablished()) {
+      finishUnknown(request, Reason.LOG_UNAVAILABLE);
+      return;
+    }
+    Optional<KeyEntry> entry = streams.fold(home).key(key);
+    boolean free = entry.map(KeyEntry::isFree).orElse(true);
+    if (!free) {
+      joinEarlierRun(request, key, entry.get());
+    } else if (refusal.isPresent()) {
+      finishUnknown(request, refusal.get());
+    } else {
+      claim(request, key, home, 1 + entry.map(KeyEntry::attempt).orElse(0));
+    }
+  }
+
+  private void claim(Request request, String key, int home, int attempt) {
+    Instant expiry = request.stated().keyExpiry().orElseThrow();
+    KeyClaimed record = new KeyClaimed(key, attempt, context.self(), expiry);
+    tracker.append(
+        streams.name(home),
+        record,
+        expiry,
+        new AppendTracker.Listener() {
+          @Override
+          public void applied(boolean valid) {
+            claimApplied(request, key, attempt, valid);
+          }
+
+          @Override
+          public void refused() {
+            finishUnknown(request, Reason.LOG_UNAVAILABLE);
+          }
+
+          @Override
+          public void expired() {
+            finishUnknown(request, Reason.LOG_ANSWER_LOST);
+          }
+        });
+  }
+
+  private void claimApplied(Request request, String key, int attempt, boolean valid) {
+    if (!valid) {
+      streams
+          .fold(streams.home(key))
+          .key(key)
+          .ifPresentOrElse(
+              entry -> joinEarlierRun(request, key, entry),
+              () -> finishUnknown(request, Reason.KEY_IN_USE));
+      return;
+    }
+    request.useKey(new KeyUse(key, attempt));
+    boolean inTime = context.now().isBefore(request.deadline());
+    if (inTime && !request.askers().isEmpty() && !context.isDraining()) {
+      runner.accept(request);
+    } else {
+      book.finish(request, Outcome.NOT_RUN, Reason.NO_CAPACITY_IN_TIME, Optional.empty());
+    }
+  }
+
+  private void joinEarlierRun(Request request, String key, KeyEntry entry) {
+    if (entry.cause().isEmpty()) {
+      waiters.computeIfAbsent(key, each -> new ArrayList<>()).add(request);
+    } else {
+      finishLike(request, entry);
+    }
+  }
+
+  private void finishLike(Request request, KeyEntry entry) {
+    Outcome outcome =
+        switch (entry.cause().orElseThrow()) {
+          case DONE -> Outcome.DONE;
+          case FAILED -> Outcome.FAILED;
+          case NOT_RUN -> Outcome.NOT_RUN;
+          case LOST, PREEMPTED, CANCELLED -> Outcome.UNKNOWN;
+        };
+    book.finish(request, outcome, Reason.KEY_USED, entry.answer());
+  }
+
+  private void finishUnknown(Request request, Reason reason) {
+    book.finish(request, Outcome.UNKNOWN, reason, Optional.empty());
+  }
+
+  private void closeKey(Request request) {
+    request
+        .keyUse()
+        .ifPresent(
+            use -> {
+              Answer.RequestAnswer answer = book.finished(request.id()).orElseThrow();
+              CloseCause cause =
+                  switch (answer.outcome()) {
+                    case DONE -> CloseCause.DONE;
+                    case FAILED -> CloseCause.FAILED;
+                    case NOT_RUN -> CloseCause.NOT_RUN;
+                    case UNKNOWN -> CloseCause.LOST;
+                  };
+              Optional<String> kept =
+                  answer.body().filter(body -> body.length() <= LONGEST_KEPT_ANSWER);
+              KeyClosed record = new KeyClosed(use.key(), use.attempt(), cause, kept);
+              closes.put(use.key(), new PendingClose(record, context.now()));
+            });
+  }
+
+  /** Tells the waiters of keys that were closed. */
+  void applied(List<AppliedRecord> records) {
+    for (AppliedRecord record : records) {
+      if (record.valid() && record.record() instanceof KeyClosed closed) {
+        closes.remove(closed.key());
+        List<Request> waiting = waiters.remove(closed.key());
+        if (waiting != null) {
+          KeyEntry entry = streams.fold(streams.home(closed.key())).key(closed.key()).orElseThrow();
+          waiting.forEach(request -> finishLike(request, entry));
+        }
+      }
+    }
+  }
+
+  void tick() {
+    closes.replaceAll(
+        (key, pending) -> {
+          if (context.now().isBefore(pending.nextTry())) {
+            return pending;
+          }
+          context.append(streams.name(streams.home(key)), pending.record());
+          return new PendingClose(pending.record(), context.now().plus(CLOSE_RETRY_INTERVAL));
+        });
+    waiters.values().forEach(list -> list.removeIf(each -> each.phase() == Phase.FINISHED));
+    waiters.values().removeIf(List::isEmpty);
+  }
+
+  boolean isIdle() {
+    return closes.isEmpty();
+  }
+
+  /**
+   * A close that was not read back yet.
+   *
+   * @param record the close
+   * @param nextTry when to append it again
+   */
+  private record PendingClose(KeyClosed record, Instant nextTry) {}
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Lane.java
@@ -0,0 +1,21 @@
+package org.hyssopport.engine;
+
+/** The queues by estimated run time. */
+enum Lane {
+  /** Work that may use every slot. */
+  SHORT {
+    @Override
+    int slotsKeptFree(EngineSettings settings) {
+      return 0;
+    }
+  },
+  /** Work that leaves some slots of each worker to short work. */
+  LONG {
+    @Override
+    int slotsKeptFree(EngineSettings settings) {
+      return settings.reservedSlots();
+    }
+  };
+
+  abstract int slotsKeptFree(EngineSettings settings);
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/OpenAttempts.java
@@ -0,0 +1,92 @@
+package org.hyssopport.engine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.work.Job;
+import org.hyssopport.engine.work.StreamRecord.TaskClaim;
+import org.hyssopport.engine.work.StreamRecord.TasksClaimed;
+import org.hyssopport.engine.work.TaskEntry;
+import org.hyssopport.policy.Resources;
+
+/** Finds open attempts by id, by worker and by team; kept in step with the folds. */
+final class OpenAttempts {
+
+  private final Streams streams;
+  private final Map<AttemptId, OpenAttempt> byId = new LinkedHashMap<>();
+  private final Map<AttemptId, WorkerId> workers = new HashMap<>();
+  private final Map<WorkerId, Map<AttemptId, OpenAttempt>> byWorker = new HashMap<>();
+  private final Map<String, Resources> usedByTeam = new HashMap<>();
+
+  OpenAttempts(Streams streams) {
+    this.streams = streams;
+  }
+
+  Collection<OpenAttempt> all() {
+    return byId.values();
+  }
+
+  Optional<OpenAttempt> find(AttemptId id) {
+    return Optional.ofNullable(byId.get(id));
+  }
+
+  List<OpenAttempt> on(WorkerId worker) {
+    return new ArrayList<>(byWorker.getOrDefault(worker, Map.of()).values());
+  }
+
+  Resources usedBy(String team) {
+    return usedByTeam.getOrDefault(team, Resources.NONE);
+  }
+
+  /** Adds the attempts that a valid claim opened. */
+  void opened(TasksClaimed claim) {
+    int stream = streams.home(claim.job());
+    Job job = streams.fold(stream).job(claim.job()).orElseThrow();
+    for (TaskClaim each : claim.claims()) {
+      if (job.isOpen(each.task(), each.attempt())) {
+        add(new OpenAttempt(stream, job, each.task(), each.attempt()));
+      }
+    }
+  }
+
+  private void add(OpenAttempt open) {
+    WorkerId where = open.placement().worker();
+    byId.put(open.id(), open);
+    workers.put(open.id(), where);
+    byWorker.computeIfAbsent(where, worker -> new LinkedHashMap<>()).put(open.id(), open);
+    usedByTeam.merge(open.job().spec().team(), open.job().spec().resources(), Resources::plus);
+  }
+
+  void closed(AttemptId id) {
+    OpenAttempt open = byId.remove(id);
+    if (open == null) {
+      return;
+    }
+    Map<AttemptId, OpenAttempt> onWorker = byWorker.get(workers.remove(id));
+    onWorker.remove(id);
+    usedByTeam.merge(open.job().spec().team(), open.job().spec().resources(), Resources::minus);
+  }
+
+  /** Reads one stream's open attempts anew, after its fold was restored. */
+  void rebuild(int stream) {
+    List<AttemptId> known =
+        byId.values().stream()
+            .filter(open -> open.stream() == stream)
+            .map(OpenAttempt::id)
+            .toList();
+    known.forEach(this::closed);
+    for (Job job : streams.fold(stream).unfinishedJobs()) {
+      for (int task = 0; task < job.size(); task++) {
+        if (job.task(task).phase() == TaskEntry.Phase.OPEN) {
+          add(new OpenAttempt(stream, job, task, job.task(task).attempt()));
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/OutlierEjection.java
@@ -0,0 +1,59 @@
+package org.hyssopport.engine;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Keeps work away from workers that fail far more of it than the others do.
+ *
+ * <p>A class of work that fails everywhere is not blamed on the workers, and at most half of the
+ * held workers are ejected at once.
+ */
+final class OutlierEjection {
+
+  private static final double CLASS_WEIGHT = 0.05;
+
+  private final EngineContext context;
+  private final WorkerPool pool;
+  private final Map<String, Double> failureShareByClass = new HashMap<>();
+
+  OutlierEjection(EngineContext context, WorkerPool pool) {
+    this.context = context;
+    this.pool = pool;
+  }
+
+  void record(HeldWorker worker, String className, boolean success) {
+    double classShare = failureShareByClass.getOrDefault(className, 0.0);
+    double failure = success ? 0 : 1 - classShare;
+    double sample = success ? 0 : 1;
+    failureShareByClass.put(className, classShare + CLASS_WEIGHT * (sample - classShare));
+    if (!success) {
+      worker.health().extendAfterProbe(context.now());
+    }
+    worker.health().record(failure);
+    ejectIfDeserved(worker);
+  }
+
+  private void ejectIfDeserved(HeldWorker worker) {
+    List<Double> shares =
+        pool.workers().stream()
+            .filter(other -> other.state() == LeaseState.ACTIVE)
+            .map(other -> other.health().failureShare())
+            .sorted()
+            .toList();
+    long ejected =
+        pool.workers().stream()
+            .filter(other -> other.state() == LeaseState.ACTIVE)
+            .filter(other -> other.health().isEjected())
+            .count();
+    if (shares.isEmpty() || (ejected + 1) * 2 > shares.size()) {
+      return;
+    }
+    double median = shares.get((shares.size() - 1) / 2);
+    if (worker.health().deservesEjection(median)) {
+      worker.health().eject(context.now());
+      context.note(TimelineKind.WORKER_EJECTED, worker.id(), worker.health().failureShare());
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Packing.java
@@ -0,0 +1,40 @@
+package org.hyssopport.engine;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.hyssopport.policy.Resources;
+
+/**
+ * How a worker is chosen among those that a task fits on.
+ *
+ * @since 0.1
+ */
+public enum Packing {
+  /** The worker whose dominant remainder is the smallest, so that large rooms stay whole. */
+  BEST_FIT {
+    @Override
+    Optional<HeldWorker> choose(
+        WorkerIndex index, Resources resources, Predicate<HeldWorker> allowed) {
+      return index.tightest(resources, allowed);
+    }
+  },
+  /** The first worker by name. */
+  FIRST_FIT {
+    @Override
+    Optional<HeldWorker> choose(
+        WorkerIndex index, Resources resources, Predicate<HeldWorker> allowed) {
+      return index.first(allowed);
+    }
+  },
+  /** Any worker, drawn by a fixed-seed generator. */
+  RANDOM {
+    @Override
+    Optional<HeldWorker> choose(
+        WorkerIndex index, Resources resources, Predicate<HeldWorker> allowed) {
+      return index.any(allowed);
+    }
+  };
+
+  abstract Optional<HeldWorker> choose(
+      WorkerIndex index, Resources resources, Predicate<HeldWorker> allowed);
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Rendezvous.java
@@ -0,0 +1,62 @@
+package org.hyssopport.engine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import net.openhft.hashing.LongHashFunction;
+
+/** Chooses among members by rendezvous hashing, so that all instances with equal views agree. */
+final class Rendezvous {
+
+  private static final LongHashFunction HASH = LongHashFunction.xx3();
+
+  private Rendezvous() {}
+
+  /** Returns the members in the order in which they are preferred for a key. */
+  static List<String> order(String key, Collection<String> members) {
+    List<String> ordered = new ArrayList<>(members);
+    ordered.sort(
+        Comparator.comparingLong((String member) -> HASH.hashChars(key + "|" + member))
+            .thenComparing(Comparator.naturalOrder()));
+    return ordered;
+  }
+
+  /** Returns the place of a member in the order for a key, counted from 0. */
+  static int rank(String key, Collection<String> members, String member) {
+    long own = HASH.hashChars(key + "|" + member);
+    int rank = 0;
+    for (String other : members) {
+      if (!other.equals(member) && HASH.hashChars(key + "|" + other) < own) {
+        rank++;
+      }
+    }
+    return rank;
+  }
+
+  /**
+   * Gives every key to its preferred member that still has room, where each member has room for an
+   * even share of the keys.
+   */
+  static Map<String, String> evenShares(Collection<String> keys, Collection<String> members) {
+    Map<String, String> shares = new HashMap<>();
+    if (members.isEmpty()) {
+      return shares;
+    }
+    int room = (keys.size() + members.size() - 1) / members.size();
+    Map<String, Integer> load = new HashMap<>();
+    for (String key : new TreeSet<>(keys)) {
+      for (String member : order(key, members)) {
+        if (load.merge(member, 0, Integer::sum) < room) {
+          load.merge(member, 1, Integer::sum);
+          shares.put(key, member);
+          break;
+        }
+      }
+    }
+    return shares;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Request.java
@@ -0,0 +1,197 @@
+package org.hyssopport.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.platform.EntryId;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.policy.WorkClass;
+
+/** One request from its arrival until its outcome is final. */
+final class Request {
+
+  private final String id;
+  private final ServiceRequest stated;
+  private final WorkClass workClass;
+  private final boolean mayBeForwarded;
+  private final List<Asker> askers = new ArrayList<>();
+  private final Map<Integer, WorkerSend> sends = new HashMap<>();
+  private final Set<WorkerId> avoidedWorkers = new HashSet<>();
+  private final Set<String> avoidedPeers = new HashSet<>();
+  private Phase phase = Phase.WAITING;
+  private Instant waitingSince;
+  private int attempts;
+  private boolean anyMayHaveRun;
+  private boolean anyFailed;
+  private Optional<EntryId> peer = Optional.empty();
+  private Optional<KeyUse> keyUse = Optional.empty();
+
+  Request(
+      String id, ServiceRequest stated, WorkClass workClass, boolean mayBeForwarded, Instant now) {
+    this.id = id;
+    this.stated = stated;
+    this.workClass = workClass;
+    this.mayBeForwarded = mayBeForwarded;
+    this.waitingSince = now;
+  }
+
+  String id() {
+    return id;
+  }
+
+  ServiceRequest stated() {
+    return stated;
+  }
+
+  WorkClass workClass() {
+    return workClass;
+  }
+
+  Instant deadline() {
+    return stated.deadline().orElseThrow();
+  }
+
+  boolean isRepeatable() {
+    return stated.repeatable();
+  }
+
+  boolean mayBeForwarded() {
+    return mayBeForwarded;
+  }
+
+  List<Asker> askers() {
+    return askers;
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  Instant waitingSince() {
+    return waitingSince;
+  }
+
+  int attempts() {
+    return attempts;
+  }
+
+  Optional<EntryId> peer() {
+    return peer;
+  }
+
+  Optional<KeyUse> keyUse() {
+    return keyUse;
+  }
+
+  void useKey(KeyUse newKeyUse) {
+    keyUse = Optional.of(newKeyUse);
+  }
+
+  Optional<WorkerSend> send(int attempt) {
+    return Optional.ofNullable(sends.get(attempt));
+  }
+
+  boolean avoids(WorkerId worker) {
+    return avoidedWorkers.contains(worker);
+  }
+
+  boolean avoids(String peerName) {
+    return avoidedPeers.contains(peerName);
+  }
+
+  void avoid(WorkerId worker) {
+    avoidedWorkers.add(worker);
+  }
+
+  void avoid(String peerName) {
+    avoidedPeers.add(peerName);
+  }
+
+  AttemptId currentAttempt() {
+    return new AttemptId(id, attempts);
+  }
+
+  /** Tells whether an attempt ran and failed. */
+  boolean hasFailed() {
+    return anyFailed;
+  }
+
+  void noteFailed() {
+    anyFailed = true;
+  }
+
+  /** Tells whether an attempt may have run without a known end. */
+  boolean mayHaveRun() {
+    return anyMayHaveRun;
+  }
+
+  void noteMayHaveRun() {
+    anyMayHaveRun = true;
+  }
+
+  AttemptId sentTo(WorkerSend send) {
+    attempts++;
+    phase = Phase.AT_WORKER;
+    peer = Optional.empty();
+    sends.put(attempts, send);
+    return currentAttempt();
+  }
+
+  AttemptId sentTo(EntryId newPeer) {
+    attempts++;
+    phase = Phase.AT_PEER;
+    peer = Optional.of(newPeer);
+    return currentAttempt();
+  }
+
+  void moveTo(Phase newPhase) {
+    phase = newPhase;
+  }
+
+  void waitAgain(Instant now) {
+    phase = Phase.WAITING;
+    waitingSince = now;
+    peer = Optional.empty();
+  }
+
+  /** Where a request stands. */
+  enum Phase {
+    /** Its key is being claimed in the log. */
+    CLAIMING,
+    /** It waits here for a slot. */
+    WAITING,
+    /** It was sent to a worker. */
+    AT_WORKER,
+    /** It was passed on to a peer. */
+    AT_PEER,
+    /** The answer was lost, and the worker or the peer is asked for it. */
+    RESOLVING,
+    /** Its outcome is final. */
+    FINISHED
+  }
+
+  /**
+   * One send to a worker.
+   *
+   * @param worker the worker
+   * @param token the lease's token
+   * @param bootId the worker's boot
+   * @param notAfter the worker refuses the start after this moment
+   * @param sentAt when it was sent
+   */
+  record WorkerSend(WorkerId worker, long token, String bootId, Instant notAfter, Instant sentAt) {}
+
+  /**
+   * The claim under which a request with a caller's key runs.
+   *
+   * @param key the key and its expiry
+   * @param attempt the claimed attempt
+   */
+  record KeyUse(String key, int attempt) {}
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/RunTimeEstimate.java
@@ -0,0 +1,42 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+
+/** Estimates the run time of one class of work from what was declared and what was seen. */
+final class RunTimeEstimate {
+
+  private static final double OBSERVATION_WEIGHT = 0.1;
+  private static final double WIDE_PRIOR_WEIGHT = 0.5;
+  private static final int FEW_OBSERVATIONS = 5;
+  private static final double LONG_MILLIS = 500;
+
+  private double meanLogMillis;
+  private int observations;
+
+  private RunTimeEstimate(double meanLogMillis) {
+    this.meanLogMillis = meanLogMillis;
+  }
+
+  static RunTimeEstimate declared(Duration runTime) {
+    return new RunTimeEstimate(Math.log((double) Math.max(1, runTime.toMillis())));
+  }
+
+  void observe(long runMillis) {
+    double weight = observations < FEW_OBSERVATIONS ? WIDE_PRIOR_WEIGHT : OBSERVATION_WEIGHT;
+    observations++;
+    meanLogMillis += weight * (Math.log((double) Math.max(1, runMillis)) - meanLogMillis);
+  }
+
+  double typicalMillis() {
+    return Math.exp(meanLogMillis);
+  }
+
+  /** Returns a run time that the work surely needs, as far as was seen; 0 before that. */
+  long surelyNeededMillis() {
+    return observations < FEW_OBSERVATIONS ? 0 : (long) (typicalMillis() / 2);
+  }
+
+  boolean isLong() {
+    return typicalMillis() > LONG_MILLIS;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/WorkerHealth.java
@@ -0,0 +1,75 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/** Tracks how much of one worker's work fails, and keeps work away from it for a while. */
+final class WorkerHealth {
+
+  private static final double WEIGHT = 0.2;
+  private static final int FEWEST_OBSERVATIONS = 4;
+  private static final double EJECTING_SHARE = 0.5;
+  private static final Duration FIRST_EJECTION = Duration.ofSeconds(5);
+  private static final int MOST_DOUBLINGS = 4;
+
+  private double failureShare;
+  private int observations;
+  private int ejections;
+  private Optional<Instant> ejectedUntil = Optional.empty();
+
+  private WorkerHealth() {}
+
+  static WorkerHealth good() {
+    return new WorkerHealth();
+  }
+
+  double failureShare() {
+    return failureShare;
+  }
+
+  /**
+   * Records how one piece of work ended.
+   *
+   * @param failure 0 for success, up to 1 for a failure that the worker is to blame for
+   */
+  void record(double failure) {
+    observations++;
+    failureShare += WEIGHT * (failure - failureShare);
+    if (failure == 0 && ejectedUntil.isPresent()) {
+      ejectedUntil = Optional.empty();
+      failureShare = 0;
+      observations = 0;
+      ejections = 0;
+    }
+  }
+
+  boolean deservesEjection(double medianShare) {
+    return ejectedUntil.isEmpty()
+        && observations >= FEWEST_OBSERVATIONS
+        && failureShare > EJECTING_SHARE
+        && failureShare > 2 * medianShare;
+  }
+
+  void eject(Instant now) {
+    long factor = 1L << Math.min(ejections, MOST_DOUBLINGS);
+    ejections++;
+    ejectedUntil = Optional.of(now.plus(FIRST_EJECTION.multipliedBy(factor)));
+  }
+
+  boolean isEjected() {
+    return ejectedUntil.isPresent();
+  }
+
+  /** Tells whether one probe may be sent to an ejected worker. */
+  boolean mayProbe(Instant now) {
+    return ejectedUntil.map(until -> !now.isBefore(until)).orElse(false);
+  }
+
+  /** Keeps the worker ejected for longer, after a probe failed. */
+  void extendAfterProbe(Instant now) {
+    if (mayProbe(now)) {
+      eject(now);
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/WorkerIndex.java
@@ -0,0 +1,121 @@
+package org.hyssopport.engine;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.policy.Resources;
+
+/** Finds a worker for a task without looking at every worker. */
+final class WorkerIndex {
+
+  private static final long RANDOM_SEED = 7;
+
+  private final TreeMap<WorkerId, HeldWorker> byName = new TreeMap<>();
+  private final Map<WorkerId, Entry> entries = new HashMap<>();
+  private final TreeSet<Entry> byFreeShare =
+      new TreeSet<>(Comparator.comparingDouble(Entry::freeShare).thenComparing(Entry::id));
+  private final TreeSet<Entry> byFreeSlots =
+      new TreeSet<>(Comparator.comparingInt(Entry::freeSlots).reversed().thenComparing(Entry::id));
+  private final Random random = new Random(RANDOM_SEED);
+  private Resources largest = Resources.NONE;
+
+  Collection<HeldWorker> workers() {
+    return byName.values();
+  }
+
+  Optional<HeldWorker> worker(WorkerId id) {
+    return Optional.ofNullable(byName.get(id));
+  }
+
+  /** Adds a worker, or moves it after its ledger changed. */
+  void update(HeldWorker worker) {
+    Entry before = entries.get(worker.id());
+    if (before != null) {
+      byFreeShare.remove(before);
+      byFreeSlots.remove(before);
+    }
+    Entry entry = Entry.of(worker);
+    byName.put(worker.id(), worker);
+    entries.put(worker.id(), entry);
+    byFreeShare.add(entry);
+    byFreeSlots.add(entry);
+    Resources capacity = worker.ledger().capacity();
+    largest =
+        new Resources(
+            Math.max(largest.milliProcessors(), capacity.milliProcessors()),
+            Math.max(largest.memoryMebibytes(), capacity.memoryMebibytes()),
+            Math.max(largest.accelerators(), capacity.accelerators()));
+  }
+
+  void remove(WorkerId id) {
+    Entry entry = entries.remove(id);
+    byName.remove(id);
+    if (entry != null) {
+      byFreeShare.remove(entry);
+      byFreeSlots.remove(entry);
+    }
+  }
+
+  /** Returns the allowed worker with the smallest free share that can hold the resources. */
+  Optional<HeldWorker> tightest(Resources resources, Predicate<HeldWorker> allowed) {
+    double smallestShare = resources.dominantShareOf(largest);
+    for (Entry entry : byFreeShare.tailSet(Entry.bound(smallestShare))) {
+      if (allowed.test(entry.worker())) {
+        return Optional.of(entry.worker());
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the allowed worker with the most free slots. */
+  Optional<HeldWorker> emptiest(Predicate<HeldWorker> allowed) {
+    for (Entry entry : byFreeSlots) {
+      if (entry.freeSlots() == 0) {
+        return Optional.empty();
+      }
+      if (allowed.test(entry.worker())) {
+        return Optional.of(entry.worker());
+      }
+    }
+    return Optional.empty();
+  }
+
+  Optional<HeldWorker> first(Predicate<HeldWorker> allowed) {
+    return byName.values().stream().filter(allowed).findFirst();
+  }
+
+  Optional<HeldWorker> any(Predicate<HeldWorker> allowed) {
+    java.util.List<HeldWorker> fitting = byName.values().stream().filter(allowed).toList();
+    return fitting.isEmpty()
+        ? Optional.empty()
+        : Optional.of(fitting.get(random.nextInt(fitting.size())));
+  }
+
+  /**
+   * A worker at its place in the orders.
+   *
+   * @param id the worker's id; empty for a bound
+   * @param worker the worker
+   * @param freeShare the largest share of any resource that is free
+   * @param freeSlots the free slots
+   */
+  private record Entry(String id, HeldWorker worker, double freeShare, int freeSlots) {
+
+    static Entry of(HeldWorker worker) {
+      WorkerLedger ledger = worker.ledger();
+      double share = ledger.free().dominantShareOf(ledger.capacity());
+      return new Entry(worker.id().name(), worker, share, ledger.freeSlots());
+    }
+
+    static Entry bound(double freeShare) {
+      return new Entry("", null, freeShare, 0);
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/WorkerLedger.java
@@ -0,0 +1,165 @@
+package org.hyssopport.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.policy.Resources;
+
+/**
+ * Counts what the lease holder granted on one worker.
+ *
+ * <p>An allocation is counted from before its start is sent until it is known to have ended.
+ */
+final class WorkerLedger {
+
+  private static final int CONTROL_CONNECTIONS = 4;
+
+  private final Resources capacity;
+  private final int slots;
+  private final int connections;
+  private final Map<AttemptId, Allocation> allocations = new HashMap<>();
+  private Resources used = Resources.NONE;
+
+  private WorkerLedger(Resources capacity, int slots, int connections) {
+    this.capacity = capacity;
+    this.slots = slots;
+    this.connections = connections;
+  }
+
+  static WorkerLedger of(Resources capacity, int slots, int connections) {
+    return new WorkerLedger(capacity, slots, connections);
+  }
+
+  Resources capacity() {
+    return capacity;
+  }
+
+  Resources free() {
+    return capacity.minus(used);
+  }
+
+  int usedSlots() {
+    return allocations.size();
+  }
+
+  int freeSlots() {
+    return Math.max(0, slots - allocations.size());
+  }
+
+  boolean isEmpty() {
+    return allocations.isEmpty();
+  }
+
+  boolean fits(Resources resources, int slotsKeptFree) {
+    int usable = Math.min(slots - slotsKeptFree, connections - CONTROL_CONNECTIONS);
+    return allocations.size() < usable && resources.fitsIn(free());
+  }
+
+  /** Counts an allocation; a repeated one is counted once. */
+  void allocate(AttemptId attempt, Allocation allocation) {
+    Allocation before = allocations.put(attempt, allocation);
+    if (before != null) {
+      used = used.minus(before.resources());
+    }
+    used = used.plus(allocation.resources());
+  }
+
+  void release(AttemptId attempt) {
+    Allocation allocation = allocations.remove(attempt);
+    if (allocation != null) {
+      used = used.minus(allocation.resources());
+    }
+  }
+
+  Optional<Allocation> allocation(AttemptId attempt) {
+    return Optional.ofNullable(allocations.get(attempt));
+  }
+
+  /** Releases the reservations whose deadline has passed and returns them. */
+  List<AttemptId> releaseLapsed(Instant now) {
+    List<AttemptId> lapsed = new ArrayList<>();
+    allocations.forEach(
+        (attempt, allocation) -> {
+          if (allocation.lapsesAt().map(now::isAfter).orElse(false)) {
+            lapsed.add(attempt);
+          }
+        });
+    lapsed.forEach(this::release);
+    return lapsed;
+  }
+
+  List<AttemptId> attemptsIn(Allocation.Stage stage) {
+    List<AttemptId> found = new ArrayList<>();
+    allocations.forEach(
+        (attempt, allocation) -> {
+          if (allocation.stage() == stage) {
+            found.add(attempt);
+          }
+        });
+    return found;
+  }
+
+  /** Returns the kept attempts that are known to run. */
+  List<AttemptId> runningKept() {
+    List<AttemptId> found = new ArrayList<>();
+    allocations.forEach(
+        (attempt, allocation) -> {
+          if (allocation.kept() && allocation.stage().isRunning()) {
+            found.add(attempt);
+          }
+        });
+    return found;
+  }
+
+  void clear() {
+    allocations.clear();
+    used = Resources.NONE;
+  }
+
+  /**
+   * What one attempt holds.
+   *
+   * @param resources the resources
+   * @param kept whether it outlives the call that starts it
+   * @param stage how much is known of it
+   * @param lapsesAt when a reservation lapses by itself
+   */
+  record Allocation(Resources resources, boolean kept, Stage stage, Optional<Instant> lapsesAt) {
+
+    static Allocation reserved(Resources resources, Instant lapsesAt) {
+      return new Allocation(resources, true, Stage.RESERVED, Optional.of(lapsesAt));
+    }
+
+    static Allocation sent(Resources resources, boolean kept) {
+      return new Allocation(resources, kept, Stage.SENT, Optional.empty());
+    }
+
+    static Allocation running(Resources resources, boolean kept) {
+      return new Allocation(resources, kept, Stage.RUNNING, Optional.empty());
+    }
+
+    static Allocation reported(Resources resources, boolean kept) {
+      return new Allocation(resources, kept, Stage.REPORTED, Optional.empty());
+    }
+
+    /** How much is known of an allocation. */
+    enum Stage {
+      /** Held for a claim that is not in the log yet. */
+      RESERVED,
+      /** The start was sent and its end is awaited. */
+      SENT,
+      /** The worker confirmed the start. */
+      RUNNING,
+      /** Known only from the worker's report, which also tells its end. */
+      REPORTED;
+
+      boolean isRunning() {
+        return this == RUNNING || this == REPORTED;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/WorkerPool.java
@@ -0,0 +1,451 @@
+package org.hyssopport.engine;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.hyssopport.engine.WorkerLedger.Allocation;
+import org.hyssopport.engine.platform.AttemptDigest;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.platform.LiveInstance;
+import org.hyssopport.engine.platform.TaskPhase;
+import org.hyssopport.engine.platform.TaskView;
+import org.hyssopport.engine.platform.WorkerCall;
+import org.hyssopport.engine.platform.WorkerCall.AcquireLease;
+import org.hyssopport.engine.platform.WorkerCall.ReadReport;
+import org.hyssopport.engine.platform.WorkerCall.ReleaseLease;
+import org.hyssopport.engine.platform.WorkerCall.RenewLease;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.platform.WorkerReply;
+import org.hyssopport.engine.platform.WorkerReport;
+import org.hyssopport.policy.Resources;
+
+/**
+ * The workers of this failure domain and the leases on them.
+ *
+ * <p>Every worker has a preferred member of the domain. A member asks for its preferred workers at
+ * once, and for others only after their preferred member had time to. A member that is no longer
+ * preferred gives the lease back after a delay.
+ */
+final class WorkerPool {
+
+  private static final Duration RETRY_DELAY = Duration.ofMillis(500);
+  private static final Duration LONGEST_RETRY_DELAY = Duration.ofSeconds(5);
+  private static final Duration TAKE_OVER_STEP = Duration.ofSeconds(2);
+  private static final Duration HAND_OVER_DELAY = Duration.ofSeconds(3);
+  private static final Duration SETTLING_REPORT_INTERVAL = Duration.ofMillis(100);
+  private static final Duration SCAN_INTERVAL = Duration.ofMillis(25);
+  private static final int MOST_CANDIDATES = 3;
+
+  private final EngineContext context;
+  private final Membership membership;
+  private final WorkerIndex index = new WorkerIndex();
+  private final List<WorkerObserver> observers = new ArrayList<>();
+  private Set<String> knownMembers = Set.of();
+  private Set<String> knownWorkers = Set.of();
+  private Instant nextScan = Instant.EPOCH;
+
+  WorkerPool(EngineContext context, Membership membership) {
+    this.context = context;
+    this.membership = membership;
+  }
+
+  void observe(WorkerObserver observer) {
+    observers.add(observer);
+  }
+
+  Collection<HeldWorker> workers() {
+    return index.workers();
+  }
+
+  Optional<HeldWorker> worker(WorkerId id) {
+    return index.worker(id);
+  }
+
+  /** Returns the worker if its lease is held here and its report was seen. */
+  Optional<HeldWorker> activeWorker(WorkerId id) {
+    return index.worker(id).filter(worker -> worker.state() == LeaseState.ACTIVE);
+  }
+
+  void tick() {
+    if (context.now().isBefore(nextScan)) {
+      return;
+    }
+    nextScan = context.now().plus(SCAN_INTERVAL);
+    refreshShares();
+    for (HeldWorker worker : List.copyOf(index.workers())) {
+      act(worker);
+    }
+  }
+
+  /** Takes over the listed workers of the domain. */
+  void listWorkers() {
+    List<LiveInstance> listed = membership.workers();
+    for (LiveInstance instance : listed) {
+      Optional<HeldWorker> known = index.worker(new WorkerId(instance.name()));
+      known.ifPresentOrElse(
+          worker -> worker.update(instance), () -> index.update(new HeldWorker(instance)));
+    }
+    Set<String> names = listed.stream().map(LiveInstance::name).collect(Collectors.toSet());
+    for (HeldWorker worker : List.copyOf(index.workers())) {
+      if (!names.contains(worker.id().name()) && worker.state() == LeaseState.UNHELD) {
+        index.remove(worker.id());
+      }
+    }
+  }
+
+  private void refreshShares() {
+    SortedSet<String> members = membership.members(context.failureDomain());
+    Set<String> workers = new TreeSet<>();
+    index.workers().forEach(worker -> workers.add(worker.id().name()));
+    if (members.equals(knownMembers) && workers.equals(knownWorkers)) {
+      return;
+    }
+    knownMembers = members;
+    knownWorkers = workers;
+    Map<String, String> shares = Rendezvous.evenShares(workers, members);
+    for (HeldWorker worker : index.workers()) {
+      String preferred = shares.getOrDefault(worker.id().name(), "");
+      worker.prefer(preferred, context.now());
+      if (worker.state() == LeaseState.UNHELD) {
+        worker.actAt(firstAsk(worker));
+      }
+    }
+  }
+
+  private boolean isPreferred(HeldWorker worker) {
+    return worker.preferredMember().equals(context.self().name());
+  }
+
+  private Instant firstAsk(HeldWorker worker) {
+    if (isPreferred(worker)) {
+      return context.now();
+    }
+    int rank = 1 + membership.rank(worker.id().name());
+    return context.now().plus(context.settings().leaseLength()).plus(step(rank));
+  }
+
+  private static Duration step(int rank) {
+    return TAKE_OVER_STEP.multipliedBy(rank);
+  }
+
+  private void act(HeldWorker worker) {
+    if (worker.state().isHeld() && !context.now().isBefore(worker.leaseDeadline())) {
+      lose(worker, "lapsed");
+    }
+    switch (worker.state()) {
+      case UNHELD -> askIfDue(worker);
+      case SETTLING -> {
+        renewIfDue(worker);
+        readReportIfDue(worker, SETTLING_REPORT_INTERVAL);
+      }
+      case ACTIVE -> actOnActive(worker);
+      case ASKING, RELEASING -> {}
+      default -> throw new IllegalStateException("lease state " + worker.state());
+    }
+  }
+
+  private void actOnActive(HeldWorker worker) {
+    for (AttemptId lapsed : worker.ledger().releaseLapsed(context.now())) {
+      index.update(worker);
+      context.note(TimelineKind.CLAIM_REJECTED, lapsed, "the reservation lapsed");
+    }
+    if (shouldHandOver(worker)) {
+      release(worker);
+      return;
+    }
+    renewIfDue(worker);
+    if (!worker.ledger().attemptsIn(Allocation.Stage.REPORTED).isEmpty()) {
+      readReportIfDue(worker, RETRY_DELAY);
+    }
+  }
+
+  private void askIfDue(HeldWorker worker) {
+    boolean candidate =
+        isPreferred(worker) || membership.rank(worker.id().name()) < MOST_CANDIDATES;
+    boolean due = !context.now().isBefore(worker.nextAction());
+    if (context.isDraining() || worker.isCallInFlight() || !candidate || !due) {
+      return;
+    }
+    worker.ask(context.now());
+    Instant deadline = context.now().plus(context.settings().leaseLength());
+    call(worker, new AcquireLease(context.self(), deadline));
+  }
+
+  private void renewIfDue(HeldWorker worker) {
+    if (worker.isCallInFlight() || context.now().isBefore(worker.nextAction())) {
+      return;
+    }
+    worker.callStarted(context.now());
+    Instant deadline = context.now().plus(context.settings().leaseLength());
+    long digest = AttemptDigest.of(worker.ledger().runningKept());
+    List<WorkerCall.Extension> extensions = new ArrayList<>();
+    worker
+        .extensions()
+        .forEach((attempt, horizon) -> extensions.add(new WorkerCall.Extension(attempt, horizon)));
+    call(worker, new RenewLease(worker.token(), deadline, digest, extensions));
+  }
+
+  private void readReportIfDue(HeldWorker worker, Duration interval) {
+    if (worker.isReportDue(context.now())) {
+      worker.reportStarted(context.now().plus(interval));
+      call(worker, new ReadReport());
+    }
+  }
+
+  private boolean shouldHandOver(HeldWorker worker) {
+    boolean otherPreferred =
+        !worker.preferredMember().isEmpty()
+            && !isPreferred(worker)
+            && membership.peerNamed(worker.preferredMember()).isPresent();
+    boolean longEnough = !context.now().isBefore(worker.preferredSince().plus(HAND_OVER_DELAY));
+    return otherPreferred && longEnough && mayRelease(worker);
+  }
+
+  private boolean mayRelease(HeldWorker worker) {
+    boolean nothingPending =
+        worker.ledger().attemptsIn(Allocation.Stage.RESERVED).isEmpty()
+            && worker.ledger().attemptsIn(Allocation.Stage.SENT).isEmpty();
+    return worker.state() == LeaseState.ACTIVE && !worker.isCallInFlight() && nothingPending;
+  }
+
+  /** Gives back every lease under which nothing is about to start; used while draining. */
+  void releaseAll() {
+    for (HeldWorker worker : List.copyOf(index.workers())) {
+      if (mayRelease(worker)) {
+        release(worker);
+      } else if (worker.state() == LeaseState.SETTLING && !worker.isCallInFlight()) {
+        release(worker);
+      }
+    }
+  }
+
+  boolean holdsAny() {
+    return index.workers().stream().anyMatch(worker -> worker.state() != LeaseState.UNHELD);
+  }
+
+  private void release(HeldWorker worker) {
+    worker.startReleasing(context.now());
+    call(worker, new ReleaseLease(worker.token()));
+  }
+
+  private void call(HeldWorker worker, WorkerCall call) {
+    context.emit(new Effect.CallWorker(worker.id(), worker.instance().address(), call));
+  }
+
+  /** Takes the reply to a lease or report call. */
+  void replied(WorkerId id, WorkerCall call, WorkerReply reply) {
+    Optional<HeldWorker> known = index.worker(id);
+    if (known.isEmpty()) {
+      return;
+    }
+    HeldWorker worker = known.get();
+    if (call instanceof AcquireLease acquire) {
+      worker.callEnded();
+      acquired(worker, acquire, reply);
+    } else if (call instanceof RenewLease renew) {
+      worker.callEnded();
+      renewed(worker, renew, reply);
+    } else if (call instanceof ReleaseLease) {
+      worker.callEnded();
+      released(worker, reply);
+    } else if (call instanceof ReadReport) {
+      worker.reportEnded();
+      if (reply instanceof WorkerReply.Reported reported) {
+        reported(worker, reported.report());
+      }
+    }
+  }
+
+  private void acquired(HeldWorker worker, AcquireLease call, WorkerReply reply) {
+    if (reply instanceof WorkerReply.LeaseGranted granted) {
+      Instant deadline = earlier(granted.deadline(), call.deadline());
+      checkClock(worker, granted.instant());
+      worker.grant(granted.token(), deadline, granted.instant(), granted.bootId());
+      worker.actAt(context.now().plus(context.settings().renewalInterval()));
+      context.note(TimelineKind.LEASE_GRANTED, worker.id(), "token " + granted.token());
+      readReportIfDue(worker, SETTLING_REPORT_INTERVAL);
+      return;
+    }
+    if (reply instanceof WorkerReply.LeaseHeld held) {
+      worker.heldBy(held.holder());
+      worker.lose(nextAskWhenHeld(worker, held));
+      return;
+    }
+    worker.lose(context.now().plus(RETRY_DELAY));
+  }
+
+  private Instant nextAskWhenHeld(HeldWorker worker, WorkerReply.LeaseHeld held) {
+    if (isPreferred(worker)) {
+      return context.now().plus(context.settings().renewalInterval());
+    }
+    Duration rest = membership.peer(held.holder()).isPresent() ? step(5) : Duration.ZERO;
+    int rank = 1 + membership.rank(worker.id().name());
+    Instant base = held.deadline().isAfter(context.now()) ? held.deadline() : context.now();
+    return earlier(base, context.now().plus(LONGEST_RETRY_DELAY)).plus(step(rank)).plus(rest);
+  }
+
+  private void renewed(HeldWorker worker, RenewLease call, WorkerReply reply) {
+    if (!worker.state().isHeld() || call.token() != worker.token()) {
+      return;
+    }
+    if (reply instanceof WorkerReply.LeaseRenewed renewed) {
+      checkClock(worker, renewed.instant());
+      worker.renew(earlier(renewed.deadline(), call.deadline()));
+      worker.actAt(worker.callSentAt().plus(context.settings().renewalInterval()));
+      worker.reportLeaving(renewed.leaving());
+      call.extensions().forEach(each -> worker.extensions().remove(each.attempt(), each.horizon()));
+      renewed.tasks().ifPresent(views -> applyViews(worker, views));
+      return;
+    }
+    if (reply instanceof WorkerReply.Refused) {
+      lose(worker, "superseded");
+      return;
+    }
+    worker.actAt(context.now().plus(RETRY_DELAY.dividedBy(2)));
+  }
+
+  private void released(HeldWorker worker, WorkerReply reply) {
+    boolean done = !(reply instanceof WorkerReply.Failed);
+    context.note(TimelineKind.LEASE_RELEASED, worker.id(), done ? "given back" : "left to lapse");
+    String preferred = worker.preferredMember();
+    lose(worker, "given back");
+    worker.actAt(context.now().plus(LONGEST_RETRY_DELAY));
+    membership
+        .peerNamed(preferred)
+        .ifPresent(peer -> send(peer, new PeerMessage.WorkerReleased(worker.id())));
+  }
+
+  private void send(Membership.Peer peer, PeerMessage message) {
+    context.emit(
+        new Effect.SendToPeer(
+            peer.address(), new PeerMessage.Envelope(context.self(), peer.id(), message)));
+  }
+
+  /** Takes a peer's word that it gave a worker back. */
+  void releasedByPeer(WorkerId id) {
+    index
+        .worker(id)
+        .filter(worker -> worker.state() == LeaseState.UNHELD && isPreferred(worker))
+        .ifPresent(worker -> worker.actAt(context.now()));
+  }
+
+  private void lose(HeldWorker worker, String why) {
+    if (worker.state().isHeld()) {
+      context.note(TimelineKind.LEASE_LOST, worker.id(), why);
+    }
+    worker.lose(context.now().plus(RETRY_DELAY));
+    index.update(worker);
+    observers.forEach(observer -> observer.lost(worker));
+  }
+
+  private void checkClock(HeldWorker worker, Instant workerInstant) {
+    Duration bound = context.settings().clockBound();
+    boolean behind = workerInstant.isBefore(worker.callSentAt().minus(bound));
+    boolean ahead = workerInstant.isAfter(context.now().plus(bound));
+    boolean suspect = behind || ahead;
+    if (suspect && !worker.isClockSuspect()) {
+      Duration difference = Duration.between(context.now(), workerInstant);
+      context.note(TimelineKind.CLOCK_SUSPECT, worker.id(), difference);
+    }
+    worker.suspectClock(suspect);
+  }
+
+  private void reported(HeldWorker worker, WorkerReport report) {
+    boolean sameBoot = report.bootId().equals(worker.bootId());
+    if (!worker.state().isHeld() || !sameBoot || !worker.advanceReport(report.instant())) {
+      return;
+    }
+    worker.reportLeaving(report.leaving());
+    if (worker.state() == LeaseState.SETTLING) {
+      if (report.instant().isBefore(worker.grantedAt())) {
+        return;
+      }
+      worker.settle();
+      context.note(TimelineKind.WORKER_READY, worker.id(), report.tasks().size() + " attempts");
+    }
+    applyViews(worker, report.tasks());
+    Set<AttemptId> running =
+        report.tasks().stream()
+            .filter(view -> view.phase() == TaskPhase.RUNNING)
+            .map(TaskView::attempt)
+            .collect(Collectors.toSet());
+    for (AttemptId attempt : worker.ledger().attemptsIn(Allocation.Stage.REPORTED)) {
+      if (!running.contains(attempt)) {
+        release(worker, attempt);
+      }
+    }
+  }
+
+  private void applyViews(HeldWorker worker, List<TaskView> views) {
+    for (TaskView view : views) {
+      boolean known = worker.ledger().allocation(view.attempt()).isPresent();
+      if (view.phase() == TaskPhase.RUNNING && !known) {
+        Allocation allocation = Allocation.reported(view.resources(), view.kept());
+        worker.ledger().allocate(view.attempt(), allocation);
+      } else if (view.phase() != TaskPhase.RUNNING && known && view.kept()) {
+        worker.ledger().release(view.attempt());
+      }
+    }
+    index.update(worker);
+    if (worker.state() == LeaseState.ACTIVE) {
+      observers.forEach(observer -> observer.reported(worker, views));
+    }
+  }
+
+  /** Chooses a worker for a request, by the most free slots. */
+  Optional<HeldWorker> chooseForRequest(
+      Resources resources, Lane lane, Predicate<HeldWorker> allowed) {
+    return index.emptiest(worker -> canPlace(worker, resources, lane) && allowed.test(worker));
+  }
+
+  /** Chooses a worker for a kept task, by the packing in force. */
+  Optional<HeldWorker> chooseForTask(Resources resources, Predicate<HeldWorker> allowed) {
+    return context
+        .settings()
+        .packing()
+        .choose(
+            index,
+            resources,
+            worker -> canPlace(worker, resources, Lane.LONG) && allowed.test(worker));
+  }
+
+  private boolean canPlace(HeldWorker worker, Resources resources, Lane lane) {
+    return worker.mayPlace(context.now(), context.settings())
+        && worker.ledger().fits(resources, lane.slotsKeptFree(context.settings()));
+  }
+
+  void allocate(HeldWorker worker, AttemptId attempt, Allocation allocation) {
+    worker.ledger().allocate(attempt, allocation);
+    index.update(worker);
+  }
+
+  void release(HeldWorker worker, AttemptId attempt) {
+    worker.ledger().release(attempt);
+    index.update(worker);
+  }
+
+  /** Returns how many more requests of a lane the held workers could start now. */
+  int freeSlots(Lane lane) {
+    int free = 0;
+    int keptFree = lane.slotsKeptFree(context.settings());
+    for (HeldWorker worker : index.workers()) {
+      if (worker.mayPlace(context.now(), context.settings())) {
+        free += Math.max(0, worker.ledger().freeSlots() - keptFree);
+      }
+    }
+    return free;
+  }
+
+  private static Instant earlier(Instant first, Instant second) {
+    return first.isBefore(second) ? first : second;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/platform/WorkerReport.java
@@ -0,0 +1,21 @@
+package org.hyssopport.engine.platform;
+
+import java.time.Instant;
+import java.util.List;
+
+/**
+ * What a worker reports of its tasks; it lags.
+ *
+ * @param instant the moment that the report speaks of, by the worker's clock
+ * @param bootId differs for every start of the worker
+ * @param leaving whether the worker is leaving
+ * @param tasks attempts that run, and attempts that ended within the stated time
+ * @since 0.1
+ */
+public record WorkerReport(Instant instant, String bootId, boolean leaving, List<TaskView> tasks) {
+
+  /** Copies the list. */
+  public WorkerReport {
+    tasks = List.copyOf(tasks);
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/work/Job.java
@@ -0,0 +1,222 @@
+package org.hyssopport.engine.work;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.work.StreamRecord.TaskClaim;
+import org.hyssopport.engine.work.StreamRecord.TaskClosed;
+import org.hyssopport.engine.work.TaskEntry.Phase;
+
+/**
+ * A job as the log tells it.
+ *
+ * @since 0.1
+ */
+public final class Job {
+
+  private final JobSpec spec;
+  private final List<TaskEntry> tasks;
+  private final Instant acceptedAt;
+  private boolean cancelled;
+  private boolean aborting;
+  private Optional<Instant> endedAt = Optional.empty();
+
+  private Job(JobSpec spec, Instant acceptedAt, List<TaskEntry> tasks) {
+    this.spec = spec;
+    this.acceptedAt = acceptedAt;
+    this.tasks = tasks;
+  }
+
+  static Job accepted(JobSpec spec, Instant acceptedAt) {
+    List<TaskEntry> tasks = new ArrayList<>();
+    for (int index = 0; index < spec.tasks(); index++) {
+      tasks.add(TaskEntry.first());
+    }
+    return new Job(spec, acceptedAt, tasks);
+  }
+
+  static Job restored(Snapshot snapshot) {
+    Job job = new Job(snapshot.spec(), snapshot.acceptedAt(), new ArrayList<>(snapshot.tasks()));
+    job.cancelled = snapshot.cancelled();
+    job.aborting = snapshot.aborting();
+    job.endedAt = snapshot.endedAt();
+    return job;
+  }
+
+  /** Returns what was asked for. */
+  public JobSpec spec() {
+    return spec;
+  }
+
+  /** Returns when the log took the job. */
+  public Instant acceptedAt() {
+    return acceptedAt;
+  }
+
+  /** Tells whether the job was cancelled. */
+  public boolean isCancelled() {
+    return cancelled;
+  }
+
+  /** Tells whether the open attempts of this gang must stop because one of them closed. */
+  public boolean isAborting() {
+    return aborting;
+  }
+
+  /** Returns when the last task ended. */
+  public Optional<Instant> endedAt() {
+    return endedAt;
+  }
+
+  /** Returns the number of tasks. */
+  public int size() {
+    return tasks.size();
+  }
+
+  /** Returns one task. */
+  public TaskEntry task(int index) {
+    return tasks.get(index);
+  }
+
+  /** Returns how many tasks are in a phase. */
+  public int count(Phase phase) {
+    int count = 0;
+    for (TaskEntry task : tasks) {
+      if (task.phase() == phase) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Tells whether every task has ended. */
+  public boolean isEnded() {
+    return endedAt.isPresent();
+  }
+
+  boolean claim(List<TaskClaim> claims) {
+    if (cancelled || aborting || !claimsAllowed(claims)) {
+      return false;
+    }
+    for (TaskClaim claim : claims) {
+      TaskEntry task = tasks.get(claim.task());
+      tasks.set(claim.task(), task.opened(claim.attempt(), claim.placement()));
+    }
+    return true;
+  }
+
+  private boolean claimsAllowed(List<TaskClaim> claims) {
+    if (claims.isEmpty()) {
+      return false;
+    }
+    if (spec.kind().startsTogether() && claims.size() != tasks.size()) {
+      return false;
+    }
+    long distinct = claims.stream().mapToInt(TaskClaim::task).distinct().count();
+    return distinct == claims.size() && claims.stream().allMatch(this::claimAllowed);
+  }
+
+  private boolean claimAllowed(TaskClaim claim) {
+    if (claim.task() < 0 || claim.task() >= tasks.size()) {
+      return false;
+    }
+    TaskEntry task = tasks.get(claim.task());
+    return task.phase() == Phase.WAITING && claim.attempt() == task.attempt() + 1;
+  }
+
+  /** Tells whether the given attempt of a task is open. */
+  public boolean isOpen(int index, int attempt) {
+    return index >= 0
+        && index < tasks.size()
+        && tasks.get(index).phase() == Phase.OPEN
+        && tasks.get(index).attempt() == attempt;
+  }
+
+  boolean extend(int index, int attempt, Instant horizon) {
+    if (!isOpen(index, attempt) || cancelled || aborting) {
+      return false;
+    }
+    TaskEntry task = tasks.get(index);
+    tasks.set(index, task.moved(task.placement().orElseThrow().until(horizon)));
+    return true;
+  }
+
+  boolean close(TaskClosed closed, Instant at) {
+    if (!isOpen(closed.task(), closed.attempt()) || wasExtended(closed)) {
+      return false;
+    }
+    if (spec.kind().startsTogether()) {
+      closeGangTask(closed.task(), closed.cause());
+    } else {
+      closeTask(closed.task(), closed.cause());
+    }
+    endIfAllEnded(at);
+    return true;
+  }
+
+  private boolean wasExtended(TaskClosed closed) {
+    Instant horizon = tasks.get(closed.task()).placement().orElseThrow().horizon();
+    return closed.lapsedHorizon().map(lapsed -> !lapsed.equals(horizon)).orElse(false);
+  }
+
+  private void closeTask(int index, CloseCause cause) {
+    TaskEntry closed = tasks.get(index).closed(Phase.WAITING, cause);
+    boolean ends = cause.endsTask() || cancelled || closed.failures() >= spec.maximumAttempts();
+    tasks.set(index, ends ? closed.in(Phase.ENDED) : closed);
+  }
+
+  private void closeGangTask(int index, CloseCause cause) {
+    tasks.set(index, tasks.get(index).closed(Phase.SETTLED, cause));
+    if (cause != CloseCause.DONE) {
+      aborting = true;
+    }
+    if (count(Phase.OPEN) > 0) {
+      return;
+    }
+    boolean allDone =
+        tasks.stream().allMatch(task -> task.lastCause().equals(Optional.of(CloseCause.DONE)));
+    boolean exhausted = tasks.stream().anyMatch(task -> task.failures() >= spec.maximumAttempts());
+    Phase next = allDone || cancelled || exhausted ? Phase.ENDED : Phase.WAITING;
+    tasks.replaceAll(task -> task.in(next));
+    aborting = false;
+  }
+
+  boolean cancel(Instant at) {
+    if (cancelled || isEnded()) {
+      return false;
+    }
+    cancelled = true;
+    tasks.replaceAll(task -> task.phase() == Phase.WAITING ? task.in(Phase.ENDED) : task);
+    endIfAllEnded(at);
+    return true;
+  }
+
+  private void endIfAllEnded(Instant at) {
+    if (endedAt.isEmpty() && count(Phase.ENDED) == tasks.size()) {
+      endedAt = Optional.of(at);
+    }
+  }
+
+  Snapshot snapshot() {
+    return new Snapshot(spec, acceptedAt, List.copyOf(tasks), cancelled, aborting, endedAt);
+  }
+
+  /**
+   * The printed state of a job.
+   *
+   * @param spec what was asked for
+   * @param acceptedAt when the log took it
+   * @param tasks all tasks
+   * @param cancelled whether it was cancelled
+   * @param aborting whether its gang attempt is being stopped
+   * @param endedAt when it ended
+   */
+  record Snapshot(
+      JobSpec spec,
+      Instant acceptedAt,
+      List<TaskEntry> tasks,
+      boolean cancelled,
+      boolean aborting,
+      Optional<Instant> endedAt) {}
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/work/RecordCodec.java
@@ -0,0 +1,45 @@
+package org.hyssopport.engine.work;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.Optional;
+import org.hyssopport.policy.Json;
+
+/**
+ * Encodes and decodes log records.
+ *
+ * @since 0.1
+ */
+public final class RecordCodec {
+
+  private RecordCodec() {}
+
+  /** Returns the encoded record. */
+  public static String encode(StreamRecord record) {
+    return write(record, StreamRecord.class);
+  }
+
+  /** Returns the record, or nothing if this version does not know it. */
+  public static Optional<StreamRecord> decode(String body) {
+    try {
+      return Optional.of(Json.mapper().readValue(body, StreamRecord.class));
+    } catch (JsonProcessingException e) {
+      return Optional.empty();
+    }
+  }
+
+  static <T> String write(T value, Class<? super T> type) {
+    try {
+      return Json.mapper().writerFor(type).writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(type.getSimpleName() + " can't be written: " + value, e);
+    }
+  }
+
+  static <T> T read(String text, Class<T> type) {
+    try {
+      return Json.mapper().readValue(text, type);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException(type.getSimpleName() + " can't be read: " + text, e);
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/work/StreamFollower.java
@@ -0,0 +1,137 @@
+package org.hyssopport.engine.work;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.platform.StoredRecord;
+
+/**
+ * Follows one stream from wherever its retained part begins.
+ *
+ * <p>A reader that starts behind the stream's beginning holds records back until it meets a
+ * checkpoint whose covered offset leaves no gap; then it restores the checkpoint and applies the
+ * records after the covered offset. So all readers reach the same state.
+ *
+ * @param <F> the fold
+ * @since 0.1
+ */
+public final class StreamFollower<F extends Fold> {
+
+  private final F fold;
+  private final List<StoredRecord> heldBack = new ArrayList<>();
+  private boolean established;
+  private boolean started;
+  private long startOffset;
+  private long nextOffset;
+  private Optional<Instant> lastCheckpointAt = Optional.empty();
+  private Optional<Instant> oldestUncoveredAt = Optional.empty();
+
+  private StreamFollower(F fold) {
+    this.fold = fold;
+  }
+
+  /** Returns a follower that has read nothing yet. */
+  public static <F extends Fold> StreamFollower<F> of(F fold) {
+    return new StreamFollower<>(fold);
+  }
+
+  /** Returns the fold. */
+  public F fold() {
+    return fold;
+  }
+
+  /** Tells whether the state is known. */
+  public boolean isEstablished() {
+    return established;
+  }
+
+  /** Returns the offset of the next record to read. */
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  /** Returns when the last checkpoint, or else the oldest record after it, was appended. */
+  public Optional<Instant> oldestNeededAt() {
+    return lastCheckpointAt.or(() -> oldestUncoveredAt);
+  }
+
+  /**
+   * Takes records as read.
+   *
+   * @param firstRetained the first offset that the stream still keeps
+   * @param records records in order, without gaps from the next offset
+   * @return what was applied, in order
+   */
+  public List<AppliedRecord> take(long firstRetained, List<StoredRecord> records) {
+    if (!started || firstRetained > nextOffset) {
+      restartAt(firstRetained);
+    }
+    List<AppliedRecord> applied = new ArrayList<>();
+    for (StoredRecord stored : records) {
+      if (stored.offset() >= nextOffset) {
+        takeOne(stored, applied);
+        nextOffset = stored.offset() + 1;
+      }
+    }
+    return applied;
+  }
+
+  private void restartAt(long firstRetained) {
+    started = true;
+    startOffset = firstRetained;
+    nextOffset = firstRetained;
+    heldBack.clear();
+    established = firstRetained == 0;
+  }
+
+  private void takeOne(StoredRecord stored, List<AppliedRecord> applied) {
+    Optional<StreamRecord> decoded = RecordCodec.decode(stored.body());
+    if (decoded.isEmpty()) {
+      return;
+    }
+    StreamRecord record = decoded.get();
+    if (record instanceof StreamRecord.Checkpoint checkpoint) {
+      takeCheckpoint(stored, checkpoint, applied);
+      return;
+    }
+    if (!established) {
+      heldBack.add(stored);
+      return;
+    }
+    apply(stored, record, applied);
+  }
+
+  private void takeCheckpoint(
+      StoredRecord stored, StreamRecord.Checkpoint checkpoint, List<AppliedRecord> applied) {
+    lastCheckpointAt = Optional.of(stored.appendedAt());
+    if (established || checkpoint.covered() < startOffset - 1) {
+      return;
+    }
+    fold.restore(checkpoint.state());
+    established = true;
+    for (StoredRecord held : heldBack) {
+      if (held.offset() > checkpoint.covered()) {
+        RecordCodec.decode(held.body()).ifPresent(record -> apply(held, record, applied));
+      }
+    }
+    heldBack.clear();
+  }
+
+  private void apply(StoredRecord stored, StreamRecord record, List<AppliedRecord> applied) {
+    if (oldestUncoveredAt.isEmpty()) {
+      oldestUncoveredAt = Optional.of(stored.appendedAt());
+    }
+    boolean valid = fold.apply(stored, record);
+    applied.add(new AppliedRecord(stored, record, valid));
+  }
+
+  /**
+   * A record and whether it was valid.
+   *
+   * @param stored the record as read
+   * @param record the decoded record
+   * @param valid whether it changed the state
+   */
+  public record AppliedRecord(StoredRecord stored, StreamRecord record, boolean valid) {}
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/CallerHttp.java
@@ -0,0 +1,230 @@
+package org.hyssopport.launcher;
+
+import com.google.common.flogger.FluentLogger;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+import org.hyssopport.engine.Answer;
+import org.hyssopport.engine.Event;
+import org.hyssopport.engine.Reason;
+import org.hyssopport.policy.Finding;
+
+/** The HTTP interface towards callers and operators. */
+final class CallerHttp {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final String NO_DELAY_PROPERTY = "sun.net.httpserver.nodelay";
+  private static final int LARGEST_INPUT_BYTES = 20 * 1024 * 1024;
+  private static final int THREADS = 8;
+  private static final int BACKLOG = 1024;
+
+  private final HttpServer server;
+  private final EngineLoop loop;
+  private final InstantSource clock;
+  private final InstanceMetrics metrics;
+  private final OperatorPages pages;
+  private final ExecutorService threads = Executors.newFixedThreadPool(THREADS);
+  private final Map<Long, Waiting> waiting = new ConcurrentHashMap<>();
+  private final AtomicLong lastHandle = new AtomicLong();
+
+  private CallerHttp(
+      HttpServer server,
+      EngineLoop loop,
+      InstantSource clock,
+      InstanceMetrics metrics,
+      OperatorPages pages) {
+    this.server = server;
+    this.loop = loop;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.pages = pages;
+  }
+
+  /** Takes the port; nothing is served before {@link #start}. */
+  static CallerHttp bind(
+      InetSocketAddress address,
+      EngineLoop loop,
+      InstantSource clock,
+      InstanceMetrics metrics,
+      OperatorPages pages)
+      throws IOException {
+    System.setProperty(NO_DELAY_PROPERTY, "true");
+    HttpServer server = HttpServer.create(address, BACKLOG);
+    return new CallerHttp(server, loop, clock, metrics, pages);
+  }
+
+  void start() {
+    server.setExecutor(threads);
+    server.createContext("/", this::handle);
+    server.start();
+  }
+
+  int open() {
+    return waiting.size();
+  }
+
+  /** Stops taking connections after everything was answered. */
+  void stop(Duration patience) {
+    long end = System.nanoTime() + patience.toNanos();
+    while (!waiting.isEmpty() && System.nanoTime() < end) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(10);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        break;
+      }
+    }
+    server.stop(0);
+    threads.shutdown();
+  }
+
+  /** Hands an answer to the caller that waits for it. */
+  void answer(long handle, Answer answer) {
+    Waiting caller = waiting.remove(handle);
+    if (caller != null) {
+      threads.execute(() -> write(caller, HttpAnswer.of(answer)));
+    }
+  }
+
+  private void handle(HttpExchange exchange) {
+    Waiting caller = new Waiting(exchange, System.nanoTime());
+    try {
+      String path = exchange.getRequestURI().getPath();
+      if (!pages.serve(exchange, path)) {
+        route(caller, exchange.getRequestMethod(), path);
+      }
+    } catch (IOException e) {
+      exchange.close();
+    } catch (RuntimeException e) {
+      LOGGER.atWarning().withCause(e).log("a request could not be handled");
+      write(caller, HttpAnswer.findings(500, List.of(new Finding("", "internal fault")), 0));
+    }
+  }
+
+  private void route(Waiting caller, String method, String path) throws IOException {
+    String input = method.equals("POST") ? readInput(caller.exchange()) : "";
+    if (input == null) {
+      Finding finding = new Finding("", "input is over " + LARGEST_INPUT_BYTES + " bytes");
+      write(caller, HttpAnswer.findings(413, List.of(finding), 0));
+      return;
+    }
+    String rest = path.substring(Math.min(path.length(), path.indexOf('/', 1) + 1));
+    String id = URLDecoder.decode(rest, StandardCharsets.UTF_8);
+    switch (method + " " + collectionOf(path)) {
+      case "POST /requests" ->
+          enter(
+              caller,
+              CallerInputs.serviceRequest(input, clock.instant()),
+              (handle, value) -> new Event.RequestReceived(handle, value));
+      case "GET /requests/*" -> enter(caller, handle -> new Event.RequestQueried(handle, id));
+      case "POST /tickets" -> enter(caller, Event.TicketRequested::new);
+      case "POST /jobs" ->
+          enter(
+              caller,
+              CallerInputs.jobSubmission(input, clock.instant()),
+              (handle, value) -> new Event.JobSubmitted(handle, value));
+      case "POST /jobs/*" -> {
+        if (id.equals("cancel")) {
+          enter(
+              caller,
+              CallerInputs.jobIds(input),
+              (handle, value) -> new Event.JobsCancelled(handle, value));
+        } else {
+          notFound(caller, method, path);
+        }
+      }
+      case "GET /jobs" -> enter(caller, Event.JobsQueried::new);
+      case "GET /jobs/*" -> enter(caller, handle -> new Event.JobQueried(handle, id));
+      case "POST /configuration" ->
+          enter(
+              caller,
+              CallerInputs.publication(input),
+              (handle, value) ->
+                  new Event.ConfigurationPublished(handle, value.base(), value.text()));
+      case "GET /configuration" -> enter(caller, Event.ConfigurationQueried::new);
+      case "GET /status" -> enter(caller, Event.StatusQueried::new);
+      default -> notFound(caller, method, path);
+    }
+  }
+
+  private static String collectionOf(String path) {
+    int slash = path.indexOf('/', 1);
+    return slash < 0 ? path : path.substring(0, slash) + "/*";
+  }
+
+  private void notFound(Waiting caller, String method, String path) {
+    Finding finding = new Finding("path", "there is no " + method + " " + path);
+    write(caller, HttpAnswer.findings(404, List.of(finding), 0));
+  }
+
+  private static String readInput(HttpExchange exchange) throws IOException {
+    try (InputStream in = exchange.getRequestBody()) {
+      byte[] bytes = in.readNBytes(LARGEST_INPUT_BYTES + 1);
+      return bytes.length > LARGEST_INPUT_BYTES ? null : new String(bytes, StandardCharsets.UTF_8);
+    }
+  }
+
+  private <T> void enter(Waiting caller, Either<List<Finding>, T> input, EventFactory<T> factory) {
+    if (input.isLeft()) {
+      write(caller, HttpAnswer.findings(400, input.getLeft(), 0));
+    } else {
+      enter(caller, handle -> factory.create(handle, input.get()));
+    }
+  }
+
+  private void enter(Waiting caller, LongFunction<Event> factory) {
+    long handle = lastHandle.incrementAndGet();
+    waiting.put(handle, caller);
+    if (!loop.offer(factory.apply(handle))) {
+      waiting.remove(handle);
+      Finding finding = new Finding("", Reason.OVERLOADED.text());
+      write(caller, HttpAnswer.findings(429, List.of(finding), 1));
+    }
+  }
+
+  private void write(Waiting caller, HttpAnswer answer) {
+    double seconds = (double) (System.nanoTime() - caller.sinceNanos()) / 1e9;
+    metrics.countAnswer(answer.outcome(), answer.reason(), seconds);
+    byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
+    HttpExchange exchange = caller.exchange();
+    try (exchange) {
+      exchange.getResponseHeaders().set("Content-Type", "application/json; charset=utf-8");
+      if (answer.retryAfterSeconds() > 0) {
+        String advice = String.valueOf(answer.retryAfterSeconds());
+        exchange.getResponseHeaders().set("Retry-After", advice);
+      }
+      exchange.sendResponseHeaders(answer.status(), body.length);
+      exchange.getResponseBody().write(body);
+    } catch (IOException e) {
+      LOGGER.atFine().log("a caller left before its answer: %s", e.getMessage());
+    }
+  }
+
+  /** Creates the event of a caller's input. */
+  private interface EventFactory<T> {
+    Event create(long handle, T input);
+  }
+
+  /**
+   * A caller that waits for an answer.
+   *
+   * @param exchange its exchange
+   * @param sinceNanos when it came
+   */
+  private record Waiting(HttpExchange exchange, long sinceNanos) {}
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/EngineLoop.java
@@ -0,0 +1,84 @@
+package org.hyssopport.launcher;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.hyssopport.engine.Effect;
+import org.hyssopport.engine.EntryEngine;
+import org.hyssopport.engine.Event;
+
+/** The thread that runs the engine: it takes events from a ring and hands effects on. */
+final class EngineLoop implements Runnable {
+
+  private static final int RING_SIZE = 1 << 15;
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+  private static final int MOST_EVENTS_PER_TICK = 2048;
+
+  private final EntryEngine engine;
+  private final InstantSource clock;
+  private final Ring<Event> ring = new Ring<>(RING_SIZE);
+  private final BiConsumer<Instant, Effect> executor;
+  private volatile boolean stopped;
+  private volatile boolean ready;
+  private long nextTickNanos;
+
+  EngineLoop(EntryEngine engine, InstantSource clock, BiConsumer<Instant, Effect> executor) {
+    this.engine = engine;
+    this.clock = clock;
+    this.executor = executor;
+  }
+
+  /** Hands in an event of a caller; returns false if the instance is overloaded. */
+  boolean offer(Event event) {
+    return ring.offer(event);
+  }
+
+  /** Hands in an event that must not be lost. */
+  void put(Event event) {
+    ring.put(event);
+  }
+
+  boolean isReady() {
+    return ready;
+  }
+
+  int waiting() {
+    return ring.size();
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  @Override
+  public void run() {
+    nextTickNanos = System.nanoTime();
+    while (!stopped) {
+      long wait = nextTickNanos - System.nanoTime();
+      Optional<Event> event = ring.poll(wait);
+      int handled = 0;
+      while (event.isPresent() && handled < MOST_EVENTS_PER_TICK) {
+        handle(event.get());
+        handled++;
+        event = ring.poll();
+      }
+      event.ifPresent(this::handle);
+      if (System.nanoTime() - nextTickNanos >= 0) {
+        nextTickNanos = System.nanoTime() + TICK_INTERVAL.toNanos();
+        handle(new Event.Ticked());
+      }
+    }
+  }
+
+  private void handle(Event event) {
+    Instant now = clock.instant();
+    List<Effect> effects = engine.handle(event, now);
+    ready = engine.isReady();
+    for (Effect effect : effects) {
+      executor.accept(now, effect);
+    }
+  }
+}
