--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/EntryInstance.java
@@ -0,0 +1,223 @@
+package org.hyssopport.launcher;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.hyssopport.engine.Effect;
+import org.hyssopport.engine.EntryEngine;
+import org.hyssopport.engine.Event;
+import org.hyssopport.engine.platform.EntryId;
+import org.hyssopport.engine.platform.StreamName;
+import org.hyssopport.engine.platform.WorkerReply;
+import org.hyssopport.launcher.ServeSettings.HostAndPort;
+import org.hyssopport.protocol.HttpCaller;
+import org.hyssopport.protocol.LiveListClient;
+import org.hyssopport.protocol.LogClient;
+import org.hyssopport.protocol.PeerLink;
+import org.hyssopport.protocol.WorkerClient;
+
+/**
+ * One running entry instance: a thread for each duty, joined by rings.
+ *
+ * @since 0.1
+ * @see ServeSettings
+ */
+public final class EntryInstance {
+
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+  private static final int TIMELINE_RING_SIZE = 1 << 14;
+  private static final long TIMELINE_WAIT_NANOS = Duration.ofMillis(500).toNanos();
+  private static final Duration LAST_ANSWERS = Duration.ofSeconds(2);
+  private static final int INCARNATION_DIGITS = 36;
+
+  private final ServeSettings settings;
+  private final InstantSource clock = InstantSource.system();
+  private final InstanceMetrics metrics = new InstanceMetrics();
+  private final Timeline timeline;
+  private final Ring<TimedNote> notes = new Ring<>(TIMELINE_RING_SIZE);
+  private final EngineLoop loop;
+  private final HttpCaller platform;
+  private final WorkerClient workers;
+  private final LogClient log;
+  private final LogWriterDuty logWriter;
+  private final LiveListDuty liveList;
+  private final List<LogReaderDuty> logReaders = new ArrayList<>();
+  private final ExecutorService duties = Executors.newCachedThreadPool();
+  private final CountDownLatch drained = new CountDownLatch(1);
+  private final PeerLink peerLink;
+  private final CallerHttp callerHttp;
+
+  private EntryInstance(ServeSettings settings) throws IOException {
+    this.settings = settings;
+    EntryId self = new EntryId(settings.name(), newIncarnation());
+    timeline = new Timeline(settings.name(), settings.failureDomain());
+    EntryEngine engine =
+        EntryEngine.create(self, settings.domain(), settings.domains(), settings.engine());
+    loop = new EngineLoop(engine, clock, this::execute);
+    platform = HttpCaller.from(settings.domain());
+    workers = WorkerClient.of(platform, clock);
+    log = LogClient.of(platform, settings.log(), clock);
+    logWriter = new LogWriterDuty(log, loop, metrics, settings.appendsPerSecond());
+    liveList = new LiveListDuty(LiveListClient.of(platform, settings.liveList()), loop);
+    for (StreamName stream : engine.followedStreams()) {
+      logReaders.add(new LogReaderDuty(log, stream, loop, clock));
+    }
+    peerLink =
+        PeerLink.open(
+            address(settings.peerListen()),
+            envelope -> loop.put(new Event.PeerMessageReceived(envelope)),
+            fault -> LOGGER.atWarning().log("peer link: %s", fault));
+    OperatorPages pages =
+        new OperatorPages(
+            metrics,
+            timeline,
+            loop::isReady,
+            settings.faultSwitch() ? Optional.of(peerLink::cut) : Optional.empty());
+    callerHttp = CallerHttp.bind(address(settings.listen()), loop, clock, metrics, pages);
+  }
+
+  /**
+   * Takes the ports and starts all duties.
+   *
+   * @throws IOException if a port can't be taken
+   * @throws IllegalArgumentException if the settings have findings
+   */
+  public static EntryInstance start(ServeSettings settings) throws IOException {
+    if (!settings.check().isEmpty()) {
+      throw new IllegalArgumentException("settings have findings: " + settings.check());
+    }
+    EntryInstance instance = new EntryInstance(settings);
+    instance.startDuties();
+    return instance;
+  }
+
+  private static String newIncarnation() {
+    long number = new SecureRandom().nextLong() & Long.MAX_VALUE;
+    return Long.toString(number, INCARNATION_DIGITS);
+  }
+
+  private static InetSocketAddress address(String text) {
+    HostAndPort parsed = HostAndPort.parse(text).orElseThrow();
+    return new InetSocketAddress(parsed.host(), parsed.port());
+  }
+
+  private void startDuties() {
+    metrics.gauge("hyssopport_ring_events", "Events that wait.", loop::waiting);
+    metrics.gauge("hyssopport_open_answers", "Callers that wait.", callerHttp::open);
+    metrics.gauge("hyssopport_peer_sent_bytes", "Sent to peers.", peerLink::sentBytes);
+    metrics.gauge(
+        "hyssopport_peer_received_bytes", "Received from peers.", peerLink::receivedBytes);
+    metrics.gauge("hyssopport_http_sent_bytes", "Sent to the platform.", platform::sentBytes);
+    metrics.gauge(
+        "hyssopport_http_received_bytes", "Received from the platform.", platform::receivedBytes);
+    duties.execute(named("engine", loop));
+    duties.execute(named("timeline", this::keepTimeline));
+    duties.execute(named("log-writer", logWriter));
+    duties.execute(named("live-list", liveList));
+    logReaders.forEach(reader -> duties.execute(named("log-reader", reader)));
+    callerHttp.start();
+    LOGGER.atInfo().log(
+        "%s in %s listens on %s, peers on %s",
+        settings.name(), settings.failureDomain(), settings.listen(), settings.peerListen());
+  }
+
+  private static Runnable named(String name, Runnable duty) {
+    return () -> {
+      Thread.currentThread().setName(name);
+      try {
+        duty.run();
+      } catch (RuntimeException e) {
+        LOGGER.atSevere().withCause(e).log("the duty %s ended", name);
+        Runtime.getRuntime().halt(1);
+      }
+    };
+  }
+
+  private void execute(Instant now, Effect effect) {
+    if (effect instanceof Effect.Reply reply) {
+      callerHttp.answer(reply.handle(), reply.answer());
+    } else if (effect instanceof Effect.CallWorker call) {
+      callWorker(call);
+    } else if (effect instanceof Effect.Append append) {
+      logWriter.append(append);
+    } else if (effect instanceof Effect.SendToPeer send) {
+      peerLink.send(send.address(), send.envelope());
+    } else if (effect instanceof Effect.Note note) {
+      notes.offer(new TimedNote(now, note));
+    } else if (effect instanceof Effect.Drained) {
+      drained.countDown();
+    }
+  }
+
+  private void callWorker(Effect.CallWorker effect) {
+    CompletableFuture<WorkerReply> reply = workers.call(effect.address(), effect.call());
+    CompletableFuture<Void> unused =
+        reply.thenAccept(
+            each -> loop.put(new Event.WorkerReplied(effect.worker(), effect.call(), each)));
+  }
+
+  private void keepTimeline() {
+    while (!Thread.currentThread().isInterrupted()) {
+      notes
+          .poll(TIMELINE_WAIT_NANOS)
+          .ifPresent(
+              timed -> {
+                timeline.record(timed.at(), timed.note());
+                metrics.countEvent(timed.note());
+              });
+    }
+  }
+
+  /**
+   * Leaves: takes nothing new, finishes what is in flight, hands its workers over and stops.
+   *
+   * @return true if everything was finished within the drain's limit
+   */
+  public boolean drain() {
+    LOGGER.atInfo().log("%s starts to drain", settings.name());
+    loop.put(new Event.DrainRequested());
+    boolean finished = false;
+    try {
+      finished = drained.await(settings.drainLength().toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    callerHttp.stop(LAST_ANSWERS);
+    stop();
+    LOGGER.atInfo().log("%s drained: %s", settings.name(), finished);
+    return finished;
+  }
+
+  private void stop() {
+    loop.stop();
+    logWriter.stop();
+    liveList.stop();
+    logReaders.forEach(LogReaderDuty::stop);
+    duties.shutdownNow();
+    try {
+      peerLink.close();
+    } catch (IOException e) {
+      LOGGER.atFine().log("the peer link was closed before: %s", e.getMessage());
+    }
+  }
+
+  /**
+   * A note with its time.
+   *
+   * @param at when
+   * @param note what
+   */
+  private record TimedNote(Instant at, Effect.Note note) {}
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/LiveListDuty.java
@@ -0,0 +1,41 @@
+package org.hyssopport.launcher;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.hyssopport.engine.Event;
+import org.hyssopport.engine.platform.LiveList;
+import org.hyssopport.protocol.LiveListClient;
+
+/** The thread that reads the live list. */
+final class LiveListDuty implements Runnable {
+
+  private static final Duration INTERVAL = Duration.ofMillis(500);
+
+  private final LiveListClient client;
+  private final EngineLoop loop;
+  private volatile boolean stopped;
+
+  LiveListDuty(LiveListClient client, EngineLoop loop) {
+    this.client = client;
+    this.loop = loop;
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  @Override
+  public void run() {
+    while (!stopped) {
+      Optional<LiveList> list = client.read().join();
+      list.ifPresent(known -> loop.put(new Event.LiveListRead(known)));
+      try {
+        TimeUnit.MILLISECONDS.sleep(INTERVAL.toMillis());
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/Ring.java
@@ -0,0 +1,58 @@
+package org.hyssopport.launcher;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
+import org.jctools.queues.MpscArrayQueue;
+
+/** A bounded ring from many threads to the one thread of a duty. */
+final class Ring<T> {
+
+  private static final long FULL_PAUSE_NANOS = Duration.ofMillis(1).toNanos();
+
+  private final MpscArrayQueue<T> queue;
+  private volatile Thread parked;
+
+  Ring(int size) {
+    this.queue = new MpscArrayQueue<>(size);
+  }
+
+  /** Adds an element; returns false if the ring is full. */
+  boolean offer(T element) {
+    boolean added = queue.offer(element);
+    Thread waiting = parked;
+    if (waiting != null) {
+      LockSupport.unpark(waiting);
+    }
+    return added;
+  }
+
+  /** Adds an element, waiting for room. */
+  void put(T element) {
+    while (!offer(element)) {
+      LockSupport.parkNanos(FULL_PAUSE_NANOS);
+    }
+  }
+
+  Optional<T> poll() {
+    return Optional.ofNullable(queue.poll());
+  }
+
+  /** Takes an element, waiting for one; only the duty's own thread may call it. */
+  Optional<T> poll(long waitNanos) {
+    T element = queue.poll();
+    if (element != null || waitNanos <= 0) {
+      return Optional.ofNullable(element);
+    }
+    parked = Thread.currentThread();
+    if (queue.isEmpty()) {
+      LockSupport.parkNanos(this, waitNanos);
+    }
+    parked = null;
+    return Optional.ofNullable(queue.poll());
+  }
+
+  int size() {
+    return queue.size();
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/ServeSettings.java
@@ -0,0 +1,131 @@
+package org.hyssopport.launcher;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.EngineSettings;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.policy.Finding;
+
+/**
+ * The settings of one entry instance.
+ *
+ * @param name the instance's name in the live list
+ * @param failureDomain its failure domain
+ * @param allDomains all failure domains of the cell
+ * @param listen host and port of its HTTP interface
+ * @param peerListen host and port of its peer link
+ * @param log host and port of the platform's log
+ * @param liveList host and port of the platform's live list
+ * @param appendsPerSecond the most appends that this instance sends in a second
+ * @param drainLength how long a drain may last at most
+ * @param faultSwitch whether failure tests may cut the peer link by HTTP
+ * @param engine the settings of the decisions
+ * @since 0.1
+ */
+public record ServeSettings(
+    String name,
+    String failureDomain,
+    List<String> allDomains,
+    String listen,
+    String peerListen,
+    String log,
+    String liveList,
+    int appendsPerSecond,
+    Duration drainLength,
+    boolean faultSwitch,
+    EngineSettings engine) {
+
+  private static final String NAME_FORMAT = "[a-z0-9][a-z0-9-]{0,59}";
+  private static final Duration LONGEST_DRAIN = Duration.ofMinutes(10);
+
+  /** Copies the list. */
+  public ServeSettings {
+    allDomains = List.copyOf(allDomains);
+  }
+
+  /** Returns every fault of these settings with its flag. */
+  public List<Finding> check() {
+    List<Finding> findings = new ArrayList<>();
+    checkName("--name", name, findings);
+    checkName("--failure-domain", failureDomain, findings);
+    if (!allDomains.contains(failureDomain)) {
+      String message = "must contain " + failureDomain + ", but is " + allDomains;
+      findings.add(new Finding("--failure-domains", message));
+    }
+    checkAddress("--listen", listen, findings);
+    checkAddress("--peer-listen", peerListen, findings);
+    checkAddress("--log", log, findings);
+    checkAddress("--live-list", liveList, findings);
+    if (listen.equals(peerListen)) {
+      findings.add(new Finding("--peer-listen", "must differ from --listen: " + listen));
+    }
+    if (appendsPerSecond < 1) {
+      findings.add(
+          new Finding("--appends-per-second", "must be at least 1, but is " + appendsPerSecond));
+    }
+    if (drainLength.isNegative() || drainLength.compareTo(LONGEST_DRAIN) > 0) {
+      findings.add(
+          new Finding("--drain-limit", "must be from PT0S to PT10M, but is " + drainLength));
+    }
+    checkTimes(findings);
+    return findings;
+  }
+
+  private void checkTimes(List<Finding> findings) {
+    Duration shortest = engine.startWindow().plus(engine.leaseLength());
+    if (engine.horizonLength().compareTo(shortest) < 0) {
+      findings.add(
+          new Finding(
+              "--horizon", "must be at least " + shortest + ", but is " + engine.horizonLength()));
+    }
+    if (engine.retention().compareTo(engine.horizonLength().multipliedBy(2)) < 0) {
+      findings.add(
+          new Finding(
+              "--retention", "must be at least twice the horizon, but is " + engine.retention()));
+    }
+  }
+
+  private static void checkName(String flag, String value, List<Finding> findings) {
+    if (!value.matches(NAME_FORMAT)) {
+      findings.add(new Finding(flag, "must be at most 60 of a-z, 0-9 and -, but is " + value));
+    }
+  }
+
+  private static void checkAddress(String flag, String value, List<Finding> findings) {
+    if (HostAndPort.parse(value).isEmpty()) {
+      findings.add(new Finding(flag, "must be host:port with a port to 65535, but is " + value));
+    }
+  }
+
+  /** Returns the failure domain as the engine names it. */
+  FailureDomain domain() {
+    return new FailureDomain(failureDomain);
+  }
+
+  /** Returns all failure domains as the engine names them. */
+  List<FailureDomain> domains() {
+    return allDomains.stream().map(FailureDomain::new).toList();
+  }
+
+  /**
+   * A host and a port.
+   *
+   * @param host the host
+   * @param port the port
+   */
+  record HostAndPort(String host, int port) {
+
+    private static final int LARGEST_PORT = 65_535;
+
+    static Optional<HostAndPort> parse(String text) {
+      int colon = text.lastIndexOf(':');
+      String port = text.substring(colon + 1);
+      if (colon <= 0 || !port.matches("\\d{1,5}") || Integer.parseInt(port) > LARGEST_PORT) {
+        return Optional.empty();
+      }
+      return Optional.of(new HostAndPort(text.substring(0, colon), Integer.parseInt(port)));
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/Timeline.java
@@ -0,0 +1,51 @@
+package org.hyssopport.launcher;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.hyssopport.engine.Effect;
+
+/** Keeps the latest events of this process. */
+final class Timeline {
+
+  private static final int MOST_EVENTS = 20_000;
+
+  private final String process;
+  private final String failureDomain;
+  private final Deque<TimelineEvent> events = new ArrayDeque<>();
+  private long lastSequence;
+
+  Timeline(String process, String failureDomain) {
+    this.process = process;
+    this.failureDomain = failureDomain;
+  }
+
+  synchronized void record(Instant at, Effect.Note note) {
+    lastSequence++;
+    events.add(
+        new TimelineEvent(
+            at,
+            process,
+            failureDomain,
+            lastSequence,
+            note.kind().name(),
+            note.subject(),
+            note.detail()));
+    if (events.size() > MOST_EVENTS) {
+      events.remove();
+    }
+  }
+
+  /** Returns the kept events after a sequence number. */
+  synchronized List<TimelineEvent> after(long sequence) {
+    List<TimelineEvent> later = new ArrayList<>();
+    for (TimelineEvent event : events) {
+      if (event.sequence() > sequence) {
+        later.add(event);
+      }
+    }
+    return later;
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon: the threads for each duty around the engine, and its HTTP interface. */
+package org.hyssopport.launcher;
--- /dev/null
+++ b/hyssopport-policy/src/main/java/org/hyssopport/policy/ConfigurationReader.java
@@ -0,0 +1,155 @@
+package org.hyssopport.policy;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Reads a printed configuration and reports all of its faults together.
+ *
+ * @since 0.1
+ * @see Configuration#print
+ */
+public final class ConfigurationReader {
+
+  private static final int LONGEST_NAME = 60;
+  private static final long MOST_ATTEMPTS = 100;
+  private static final long LARGEST_BODY_BYTES = 16L * 1024 * 1024;
+  private static final long MOST_TASKS = 10_000;
+
+  private ConfigurationReader() {}
+
+  /**
+   * Reads a configuration.
+   *
+   * @param text the printed form
+   * @return the configuration, or all findings with their places
+   */
+  public static Either<List<Finding>, Configuration> read(String text) {
+    List<Finding> findings = new ArrayList<>();
+    JsonNode root;
+    try {
+      root = Json.mapper().readTree(text);
+    } catch (JsonProcessingException e) {
+      return Either.left(List.of(new Finding(lineOf(e), "is not JSON: " + firstLine(e))));
+    }
+    FieldReader reader = FieldReader.of(root, findings);
+    long format = reader.number("formatVersion", 0, 0, Long.MAX_VALUE);
+    if (format != Configuration.FORMAT_VERSION) {
+      String known = "this program reads format " + Configuration.FORMAT_VERSION;
+      reader.report("formatVersion", known + ", but the configuration has format " + format);
+      return Either.left(findings);
+    }
+    Configuration configuration = readBody(reader);
+    findings.addAll(check(configuration));
+    return findings.isEmpty() ? Either.right(configuration) : Either.left(findings);
+  }
+
+  /** Returns all faults of a configuration's content, each with its place. */
+  public static List<Finding> check(Configuration configuration) {
+    List<Finding> findings = new ArrayList<>();
+    Set<String> teams = new HashSet<>();
+    for (int index = 0; index < configuration.teams().size(); index++) {
+      checkTeam(configuration.teams().get(index), "teams[" + index + "]", teams, findings);
+    }
+    Set<String> classes = new HashSet<>();
+    for (int index = 0; index < configuration.classes().size(); index++) {
+      WorkClass workClass = configuration.classes().get(index);
+      String place = "classes[" + index + "]";
+      checkName(workClass.name(), place, classes, findings);
+      checkClass(workClass, place, configuration, findings);
+    }
+    return findings;
+  }
+
+  private static Configuration readBody(FieldReader reader) {
+    reader.allowOnly(Set.of("formatVersion", "name", "teams", "classes", "limits"));
+    return new Configuration(
+        Configuration.FORMAT_VERSION,
+        reader.text("name"),
+        reader.list("teams", ConfigurationReader::readTeam),
+        reader.list("classes", ConfigurationReader::readClass),
+        reader.has("limits") ? readLimits(reader.object("limits")) : Limits.standard());
+  }
+
+  private static Team readTeam(FieldReader reader) {
+    reader.allowOnly(Set.of("name", "quota"));
+    return new Team(reader.text("name"), reader.resources("quota", Resources.NONE));
+  }
+
+  private static WorkClass readClass(FieldReader reader) {
+    reader.allowOnly(
+        Set.of(
+            "name", "kind", "team", "resources", "patience", "expectedRunTime", "maximumAttempts"));
+    WorkKind kind = reader.constant("kind", WorkKind.class, WorkKind.BATCH);
+    WorkClass standard =
+        switch (kind) {
+          case SERVICE -> WorkClass.service(reader.text("name"), reader.text("team"));
+          case BATCH -> WorkClass.batch(reader.text("name"), reader.text("team"));
+          case GANG -> WorkClass.gang(reader.text("name"), reader.text("team"));
+        };
+    return standard
+        .holding(reader.resources("resources", standard.resources()))
+        .patientFor(reader.duration("patience", standard.patience()))
+        .running(reader.duration("expectedRunTime", standard.expectedRunTime()))
+        .attempting(reader.number("maximumAttempts", standard.maximumAttempts(), 1, MOST_ATTEMPTS));
+  }
+
+  private static Limits readLimits(FieldReader reader) {
+    Limits standard = Limits.standard();
+    reader.allowOnly(Set.of("maximumBodyBytes", "maximumTasksPerJob", "maximumTask"));
+    return new Limits(
+        reader.number("maximumBodyBytes", standard.maximumBodyBytes(), 1, LARGEST_BODY_BYTES),
+        reader.number("maximumTasksPerJob", standard.maximumTasksPerJob(), 1, MOST_TASKS),
+        reader.resources("maximumTask", standard.maximumTask()));
+  }
+
+  private static void checkTeam(Team team, String place, Set<String> seen, List<Finding> findings) {
+    checkName(team.name(), place, seen, findings);
+    if (team.quota().equals(Resources.NONE)) {
+      findings.add(new Finding(place + ".quota", "is zero, so the team could run nothing"));
+    }
+  }
+
+  private static void checkClass(
+      WorkClass workClass, String place, Configuration configuration, List<Finding> findings) {
+    if (configuration.teamNamed(workClass.team()).isEmpty()) {
+      findings.add(new Finding(place + ".team", "names no known team: " + workClass.team()));
+    }
+    if (!workClass.resources().fitsIn(configuration.limits().maximumTask())) {
+      String limit = "is over limits.maximumTask: " + workClass.resources();
+      findings.add(new Finding(place + ".resources", limit));
+    }
+    if (workClass.resources().milliProcessors() == 0) {
+      findings.add(new Finding(place + ".resources", "holds no processor time"));
+    }
+  }
+
+  private static void checkName(
+      String name, String place, Set<String> seen, List<Finding> findings) {
+    if (name.length() > LONGEST_NAME || !name.matches("[a-z0-9][a-z0-9-]*")) {
+      String rule = "must be at most 60 of a-z, 0-9 and -, but is " + name;
+      findings.add(new Finding(place + ".name", rule));
+    }
+    if (!seen.add(name)) {
+      findings.add(new Finding(place + ".name", "is used twice: " + name));
+    }
+  }
+
+  private static String lineOf(JsonProcessingException fault) {
+    return fault.getLocation() == null
+        ? ""
+        : "line "
+            + fault.getLocation().getLineNr()
+            + ", column "
+            + fault.getLocation().getColumnNr();
+  }
+
+  private static String firstLine(JsonProcessingException fault) {
+    return fault.getOriginalMessage().lines().findFirst().orElse("unreadable");
+  }
+}
--- /dev/null
+++ b/hyssopport-policy/src/main/java/org/hyssopport/policy/FieldReader.java
@@ -0,0 +1,192 @@
+package org.hyssopport.policy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * Reads typed fields of a JSON object and collects every finding with its place.
+ *
+ * <p>A field that can't be read yields a neutral value, so that reading goes on and the remaining
+ * findings are still collected; the result is used only if there are no findings.
+ *
+ * @since 0.1
+ */
+public final class FieldReader {
+
+  private final JsonNode node;
+  private final String place;
+  private final List<Finding> findings;
+
+  private FieldReader(JsonNode node, String place, List<Finding> findings) {
+    this.node = node;
+    this.place = place;
+    this.findings = findings;
+    if (!node.isObject()) {
+      findings.add(new Finding(place, "must be an object, but is " + describe(node)));
+    }
+  }
+
+  /** Returns a reader of the outermost object that adds to the given findings. */
+  public static FieldReader of(JsonNode node, List<Finding> findings) {
+    return new FieldReader(node, "", findings);
+  }
+
+  /** Returns the place of a field of this object. */
+  public String placeOf(String field) {
+    return place.isEmpty() ? field : place + "." + field;
+  }
+
+  /** Adds a finding at a field of this object. */
+  public void report(String field, String message) {
+    findings.add(new Finding(placeOf(field), message));
+  }
+
+  /** Reports every field whose name is not among the known ones. */
+  public void allowOnly(Set<String> known) {
+    node.fieldNames()
+        .forEachRemaining(
+            field -> {
+              if (!known.contains(field)) {
+                report(field, "is not a known field; known are " + known);
+              }
+            });
+  }
+
+  /** Tells whether the field is present and not null. */
+  public boolean has(String field) {
+    return node.hasNonNull(field);
+  }
+
+  /** Returns a text that must be present and not empty. */
+  public String text(String field) {
+    Optional<String> value = optionalText(field);
+    if (value.isEmpty() && !has(field)) {
+      report(field, "is missing");
+    }
+    return value.orElse("");
+  }
+
+  /** Returns a text if it is present. */
+  public Optional<String> optionalText(String field) {
+    if (!has(field)) {
+      return Optional.empty();
+    }
+    JsonNode value = node.get(field);
+    if (!value.isTextual() || value.asText().isBlank()) {
+      report(field, "must be a text that is not empty, but is " + describe(value));
+      return Optional.empty();
+    }
+    return Optional.of(value.asText());
+  }
+
+  /** Returns a whole number within bounds, or the fallback if the field is absent. */
+  public long number(String field, long fallback, long minimum, long maximum) {
+    if (!has(field)) {
+      return fallback;
+    }
+    JsonNode value = node.get(field);
+    if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+      report(field, "must be a whole number, but is " + describe(value));
+      return fallback;
+    }
+    if (value.asLong() < minimum || value.asLong() > maximum) {
+      report(field, "must be from " + minimum + " to " + maximum + ", but is " + value);
+      return fallback;
+    }
+    return value.asLong();
+  }
+
+  /** Returns a truth value, or the fallback if the field is absent. */
+  public boolean truth(String field, boolean fallback) {
+    if (!has(field)) {
+      return fallback;
+    }
+    if (!node.get(field).isBoolean()) {
+      report(field, "must be true or false, but is " + describe(node.get(field)));
+      return fallback;
+    }
+    return node.get(field).asBoolean();
+  }
+
+  /** Returns a positive ISO 8601 duration, or the fallback if the field is absent. */
+  public Duration duration(String field, Duration fallback) {
+    Optional<String> text = optionalText(field);
+    if (text.isEmpty()) {
+      return fallback;
+    }
+    try {
+      Duration value = Duration.parse(text.get());
+      if (value.isNegative() || value.isZero()) {
+        report(field, "must be positive, but is " + value);
+      }
+      return value;
+    } catch (DateTimeException e) {
+      report(field, "must be a duration such as PT1.4S, but is " + text.get());
+      return fallback;
+    }
+  }
+
+  /** Returns one of the constants of an enum, or the fallback if the value is none of them. */
+  public <E extends Enum<E>> E constant(String field, Class<E> type, E fallback) {
+    String name = text(field);
+    for (E constant : type.getEnumConstants()) {
+      if (constant.name().equals(name)) {
+        return constant;
+      }
+    }
+    if (!name.isEmpty()) {
+      report(field, "must be one of " + List.of(type.getEnumConstants()) + ", but is " + name);
+    }
+    return fallback;
+  }
+
+  /** Returns an amount of resources, or the fallback if the field is absent. */
+  public Resources resources(String field, Resources fallback) {
+    if (!has(field)) {
+      return fallback;
+    }
+    FieldReader inner = new FieldReader(node.get(field), placeOf(field), findings);
+    inner.allowOnly(Set.of("milliProcessors", "memoryMebibytes", "accelerators"));
+    return new Resources(
+        inner.number("milliProcessors", 0, 0, Integer.MAX_VALUE),
+        inner.number("memoryMebibytes", 0, 0, Integer.MAX_VALUE),
+        inner.number("accelerators", 0, 0, Integer.MAX_VALUE));
+  }
+
+  /** Reads every element of a list of objects. */
+  public <T> List<T> list(String field, Function<FieldReader, T> element) {
+    List<T> values = new ArrayList<>();
+    if (!has(field)) {
+      return values;
+    }
+    if (!node.get(field).isArray()) {
+      report(field, "must be a list, but is " + describe(node.get(field)));
+      return values;
+    }
+    int index = 0;
+    for (JsonNode each : node.get(field)) {
+      values.add(
+          element.apply(new FieldReader(each, placeOf(field) + "[" + index + "]", findings)));
+      index++;
+    }
+    return values;
+  }
+
+  /** Returns a reader of an inner object. */
+  public FieldReader object(String field) {
+    JsonNode inner = has(field) ? node.get(field) : Json.mapper().createObjectNode();
+    return new FieldReader(inner, placeOf(field), findings);
+  }
+
+  private static String describe(JsonNode value) {
+    String text = value.toString();
+    int longest = 40;
+    return text.length() <= longest ? text : text.substring(0, longest) + "…";
+  }
+}
--- /dev/null
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/HttpCaller.java
@@ -0,0 +1,118 @@
+package org.hyssopport.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.LongAdder;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.policy.Json;
+
+/**
+ * Sends JSON over HTTP/1.1 to the platform.
+ *
+ * <p>Whatever takes effect must be a POST, since the client repeats a GET by itself.
+ *
+ * @since 0.1
+ */
+public final class HttpCaller {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
+  private static final int THREADS = 4;
+  private static final String DOMAIN_HEADER = "X-Failure-Domain";
+
+  private final HttpClient client;
+  private final FailureDomain failureDomain;
+  private final LongAdder sentBytes = new LongAdder();
+  private final LongAdder receivedBytes = new LongAdder();
+
+  private HttpCaller(HttpClient client, FailureDomain failureDomain) {
+    this.client = client;
+    this.failureDomain = failureDomain;
+  }
+
+  /** Returns a caller whose requests name the failure domain that they come from. */
+  public static HttpCaller from(FailureDomain failureDomain) {
+    ExecutorService threads =
+        Executors.newFixedThreadPool(
+            THREADS,
+            task -> {
+              Thread thread = new Thread(task, "http-client");
+              thread.setDaemon(true);
+              return thread;
+            });
+    HttpClient client =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .executor(threads)
+            .build();
+    return new HttpCaller(client, failureDomain);
+  }
+
+  /** Returns the body bytes sent so far. */
+  public long sentBytes() {
+    return sentBytes.sum();
+  }
+
+  /** Returns the body bytes received so far. */
+  public long receivedBytes() {
+    return receivedBytes.sum();
+  }
+
+  /** Reads from an address; takes no effect there. */
+  public CompletableFuture<HttpResponse<String>> get(
+      String address, String path, Duration timeout) {
+    return send(HttpRequest.newBuilder(uri(address, path)).timeout(timeout).GET());
+  }
+
+  /** Sends a value as JSON. */
+  public CompletableFuture<HttpResponse<String>> post(
+      String address, String path, Object body, Duration timeout) {
+    String text;
+    try {
+      text = Json.mapper().writeValueAsString(body);
+    } catch (JsonProcessingException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+    sentBytes.add(text.length());
+    return send(
+        HttpRequest.newBuilder(uri(address, path))
+            .timeout(timeout)
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(text)));
+  }
+
+  private CompletableFuture<HttpResponse<String>> send(HttpRequest.Builder request) {
+    request.header(DOMAIN_HEADER, failureDomain.name());
+    return client
+        .sendAsync(request.build(), HttpResponse.BodyHandlers.ofString())
+        .whenComplete(
+            (response, failure) -> {
+              if (response != null) {
+                receivedBytes.add(response.body().length());
+              }
+            });
+  }
+
+  private static URI uri(String address, String path) {
+    return URI.create("http://" + address + path);
+  }
+
+  /** Tells whether a failed request surely never reached the other side. */
+  static boolean surelyNotSent(Throwable failure) {
+    Throwable cause = failure;
+    while (cause instanceof CompletionException && cause.getCause() != null) {
+      cause = cause.getCause();
+    }
+    return cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException;
+  }
+}
--- /dev/null
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/LiveListClient.java
@@ -0,0 +1,52 @@
+package org.hyssopport.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hyssopport.engine.platform.LiveList;
+import org.hyssopport.policy.Json;
+
+/**
+ * Reads the platform's live list.
+ *
+ * @since 0.1
+ */
+public final class LiveListClient {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final int OK = 200;
+
+  private final HttpCaller caller;
+  private final String address;
+
+  private LiveListClient(HttpCaller caller, String address) {
+    this.caller = caller;
+    this.address = address;
+  }
+
+  /** Returns a client of the list at an address. */
+  public static LiveListClient of(HttpCaller caller, String address) {
+    return new LiveListClient(caller, address);
+  }
+
+  /** Returns the list, or nothing if it can't be had now. */
+  public CompletableFuture<Optional<LiveList>> read() {
+    return caller
+        .get(address, "/instances", TIMEOUT)
+        .thenApply(LiveListClient::listOf)
+        .exceptionally(failure -> Optional.empty());
+  }
+
+  private static Optional<LiveList> listOf(HttpResponse<String> response) {
+    if (response.statusCode() != OK) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Json.mapper().readValue(response.body(), LiveList.class));
+    } catch (JsonProcessingException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/LogClient.java
@@ -0,0 +1,132 @@
+package org.hyssopport.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vavr.control.Either;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hyssopport.engine.platform.AppendResult;
+import org.hyssopport.engine.platform.StoredRecord;
+import org.hyssopport.engine.platform.StreamName;
+import org.hyssopport.policy.Json;
+
+/**
+ * Appends to the platform's log and reads it.
+ *
+ * @since 0.1
+ */
+public final class LogClient {
+
+  private static final Duration APPEND_TIMEOUT = Duration.ofSeconds(4);
+  private static final Duration READ_GRACE = Duration.ofSeconds(3);
+  private static final int READ_LIMIT = 1000;
+  private static final int OK = 200;
+  private static final int GONE = 410;
+  private static final int TOO_MANY = 429;
+  private static final int UNAVAILABLE = 503;
+
+  private final HttpCaller caller;
+  private final String address;
+  private final InstantSource clock;
+
+  private LogClient(HttpCaller caller, String address, InstantSource clock) {
+    this.clock = clock;
+    this.caller = caller;
+    this.address = address;
+  }
+
+  /** Returns a client of the log at an address. */
+  public static LogClient of(HttpCaller caller, String address, InstantSource clock) {
+    return new LogClient(caller, address, clock);
+  }
+
+  /** Appends records, all or none; the result always comes and is never exceptional. */
+  public CompletableFuture<AppendResult> append(StreamName stream, List<NewRecord> records) {
+    return caller
+        .post(address, path(stream), new NewRecords(records), APPEND_TIMEOUT)
+        .thenApply(response -> resultOf(response.statusCode()))
+        .exceptionally(
+            failure ->
+                HttpCaller.surelyNotSent(failure) ? AppendResult.REFUSED : AppendResult.LOST);
+  }
+
+  private static AppendResult resultOf(int status) {
+    return switch (status) {
+      case OK -> AppendResult.APPENDED;
+      case TOO_MANY, UNAVAILABLE -> AppendResult.REFUSED;
+      default -> AppendResult.LOST;
+    };
+  }
+
+  private static String path(StreamName stream) {
+    return "/streams/" + stream.name() + "/records";
+  }
+
+  /**
+   * Reads records, waiting for the first one.
+   *
+   * @param from the first offset to read
+   * @param waitUntil until when the log may wait for a record
+   * @return the records, or why there are none
+   */
+  public CompletableFuture<Either<String, StreamPage>> read(
+      StreamName stream, long from, Instant waitUntil) {
+    String query =
+        "?from=" + from + "&limit=" + READ_LIMIT + "&wait-until=" + waitUntil.toEpochMilli();
+    Duration timeout = Duration.between(clock.instant(), waitUntil).plus(READ_GRACE);
+    return caller
+        .get(address, path(stream) + query, timeout)
+        .thenApply(LogClient::pageOf)
+        .exceptionally(failure -> Either.left(String.valueOf(failure.getMessage())));
+  }
+
+  private static Either<String, StreamPage> pageOf(HttpResponse<String> response) {
+    if (response.statusCode() != OK && response.statusCode() != GONE) {
+      return Either.left("the log answered " + response.statusCode());
+    }
+    try {
+      return Either.right(Json.mapper().readValue(response.body(), StreamPage.class));
+    } catch (JsonProcessingException e) {
+      return Either.left("the log's answer is not readable");
+    }
+  }
+
+  /**
+   * A record to append.
+   *
+   * @param id the writer's id of the record
+   * @param body the encoded record
+   */
+  public record NewRecord(String id, String body) {}
+
+  /**
+   * Records to append together.
+   *
+   * @param records the records
+   */
+  public record NewRecords(List<NewRecord> records) {
+
+    /** Copies the list. */
+    public NewRecords {
+      records = List.copyOf(records);
+    }
+  }
+
+  /**
+   * Records as read.
+   *
+   * @param firstRetained the first offset that the stream still keeps
+   * @param next the offset after the last record of the stream
+   * @param records the records; empty if the asked offset has lapsed
+   */
+  public record StreamPage(long firstRetained, long next, List<StoredRecord> records) {
+
+    /** Copies the list. */
+    public StreamPage {
+      records = records == null ? List.of() : List.copyOf(records);
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/WorkerClient.java
@@ -0,0 +1,131 @@
+package org.hyssopport.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.net.URLEncoder;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import org.hyssopport.engine.platform.WorkerCall;
+import org.hyssopport.engine.platform.WorkerCall.AcquireLease;
+import org.hyssopport.engine.platform.WorkerCall.ReadReport;
+import org.hyssopport.engine.platform.WorkerCall.ReadTask;
+import org.hyssopport.engine.platform.WorkerCall.ReleaseLease;
+import org.hyssopport.engine.platform.WorkerCall.RenewLease;
+import org.hyssopport.engine.platform.WorkerCall.StartTask;
+import org.hyssopport.engine.platform.WorkerCall.StopTask;
+import org.hyssopport.engine.platform.WorkerReply;
+import org.hyssopport.engine.platform.WorkerReport;
+import org.hyssopport.policy.Json;
+
+/**
+ * Calls workers over HTTP.
+ *
+ * @since 0.1
+ */
+public final class WorkerClient {
+
+  private static final Duration CONTROL_TIMEOUT = Duration.ofMillis(1500);
+  private static final Duration ANSWER_GRACE = Duration.ofMillis(1500);
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final int GONE = 410;
+
+  private final HttpCaller caller;
+  private final InstantSource clock;
+
+  private WorkerClient(HttpCaller caller, InstantSource clock) {
+    this.caller = caller;
+    this.clock = clock;
+  }
+
+  /** Returns a client that sends by the given caller. */
+  public static WorkerClient of(HttpCaller caller, InstantSource clock) {
+    return new WorkerClient(caller, clock);
+  }
+
+  /** Makes a call; the reply always comes and is never exceptional. */
+  public CompletableFuture<WorkerReply> call(String address, WorkerCall call) {
+    return send(address, call)
+        .thenApply(response -> read(call, response))
+        .exceptionally(failure -> new WorkerReply.Failed(!HttpCaller.surelyNotSent(failure)));
+  }
+
+  private CompletableFuture<HttpResponse<String>> send(String address, WorkerCall call) {
+    if (call instanceof ReadReport) {
+      return caller.get(address, "/report", CONTROL_TIMEOUT);
+    }
+    if (call instanceof ReadTask read) {
+      String id = URLEncoder.encode(read.attempt().toString(), StandardCharsets.UTF_8);
+      return caller.get(address, "/tasks?attempt=" + id, CONTROL_TIMEOUT);
+    }
+    return caller.post(address, pathOf(call), call, timeoutOf(call));
+  }
+
+  private static String pathOf(WorkerCall call) {
+    if (call instanceof AcquireLease) {
+      return "/lease";
+    }
+    if (call instanceof RenewLease) {
+      return "/lease/renew";
+    }
+    if (call instanceof ReleaseLease) {
+      return "/lease/release";
+    }
+    if (call instanceof StopTask) {
+      return "/tasks/stop";
+    }
+    return call instanceof StartTask start && !start.kept() ? "/requests" : "/tasks";
+  }
+
+  private Duration timeoutOf(WorkerCall call) {
+    if (call instanceof StartTask start && !start.kept()) {
+      Instant latest = start.horizon().plus(ANSWER_GRACE);
+      Duration left = Duration.between(clock.instant(), latest);
+      return left.compareTo(CONTROL_TIMEOUT) > 0 ? left : CONTROL_TIMEOUT;
+    }
+    return CONTROL_TIMEOUT;
+  }
+
+  private static WorkerReply read(WorkerCall call, HttpResponse<String> response) {
+    try {
+      return readTyped(call, response);
+    } catch (JsonProcessingException e) {
+      return new WorkerReply.Failed(true);
+    }
+  }
+
+  private static WorkerReply readTyped(WorkerCall call, HttpResponse<String> response)
+      throws JsonProcessingException {
+    int status = response.statusCode();
+    if (status == CONFLICT && call instanceof AcquireLease) {
+      return parse(response, WorkerReply.LeaseHeld.class);
+    }
+    if (status == CONFLICT || status == GONE || status == 400) {
+      return parse(response, WorkerReply.Refused.class);
+    }
+    if (status != OK) {
+      return new WorkerReply.Failed(true);
+    }
+    if (call instanceof AcquireLease) {
+      return parse(response, WorkerReply.LeaseGranted.class);
+    }
+    if (call instanceof RenewLease) {
+      return parse(response, WorkerReply.LeaseRenewed.class);
+    }
+    if (call instanceof ReleaseLease) {
+      return new WorkerReply.LeaseReleased();
+    }
+    if (call instanceof ReadReport) {
+      return new WorkerReply.Reported(parse(response, WorkerReport.class));
+    }
+    return parse(response, WorkerReply.TaskState.class);
+  }
+
+  private static <T> T parse(HttpResponse<String> response, Class<T> type)
+      throws JsonProcessingException {
+    return Json.mapper().readValue(response.body(), type);
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/TestKit.java
@@ -0,0 +1,108 @@
+package org.hyssopport.testkit;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Locale;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.hyssopport.testkit.demo.CellLayout;
+import org.hyssopport.testkit.demo.Day;
+import org.hyssopport.testkit.demo.Firm;
+import org.hyssopport.testkit.demo.HttpProbe;
+import org.hyssopport.testkit.standin.LiveListServer;
+import org.hyssopport.testkit.standin.LogModel;
+import org.hyssopport.testkit.standin.LogServer;
+import org.hyssopport.testkit.standin.WorkerModel;
+import org.hyssopport.testkit.standin.WorkerServer;
+
+/**
+ * The command line of the stand-ins and the demonstration.
+ *
+ * @since 0.1
+ */
+public final class TestKit {
+
+  private static final int USAGE = 2;
+
+  private TestKit() {}
+
+  /** Runs one command. */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    ArgumentParser parser = parser();
+    try {
+      run(parser.parseArgs(arguments));
+    } catch (HelpScreenException e) {
+      System.exit(0);
+    } catch (ArgumentParserException e) {
+      parser.handleError(e);
+      System.exit(USAGE);
+    }
+  }
+
+  private static ArgumentParser parser() {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("testkit").build().description("Stand-ins and demonstrations.");
+    Subparsers commands = parser.addSubparsers().dest("command").metavar("COMMAND");
+    Subparser log = commands.addParser("log").help("run the stand-in log");
+    log.addArgument("--port").type(Integer.class).required(true);
+    log.addArgument("--retention").setDefault("PT6H");
+    log.addArgument("--cap").type(Integer.class).setDefault(400);
+    Subparser list = commands.addParser("live-list").help("run the stand-in live list");
+    list.addArgument("--port").type(Integer.class).required(true);
+    Subparser worker = commands.addParser("worker").help("run a stand-in worker");
+    worker.addArgument("--name").required(true);
+    worker.addArgument("--port").type(Integer.class).required(true);
+    cell(commands, "policy", "print a firm's configuration");
+    cell(commands, "list-cell", "tell the live list of a cell's instances");
+    cell(commands, "day", "run a firm's day against a running cell");
+    return parser;
+  }
+
+  private static void cell(Subparsers commands, String name, String help) {
+    Subparser parser = commands.addParser(name).help(help);
+    parser.addArgument("--firm").choices("ardennes", "tanimura").setDefault("ardennes");
+    parser.addArgument("--base-port").type(Integer.class).setDefault(21000);
+    parser.addArgument("--entries").type(Integer.class).setDefault(3);
+    parser.addArgument("--workers").type(Integer.class).setDefault(10);
+  }
+
+  private static void run(Namespace flags) throws IOException, InterruptedException {
+    switch (flags.getString("command")) {
+      case "log" -> {
+        Duration retention = Duration.parse(flags.getString("retention"));
+        LogServer.start(LogModel.create(retention, flags.getInt("cap")), flags.getInt("port"));
+        Thread.currentThread().join();
+      }
+      case "live-list" -> {
+        LiveListServer.start(flags.getInt("port"));
+        Thread.currentThread().join();
+      }
+      case "worker" -> {
+        WorkerServer.start(WorkerModel.create(flags.getString("name")), flags.getInt("port"));
+        Thread.currentThread().join();
+      }
+      case "policy" -> layout(flags).firm().configuration().print(System.out);
+      case "list-cell" -> {
+        CellLayout layout = layout(flags);
+        boolean told =
+            HttpProbe.create()
+                .post(layout.liveList(), "/instances", layout.instances())
+                .isPresent();
+        System.exit(told ? 0 : 1);
+      }
+      case "day" -> System.exit(Day.run(layout(flags), System.out) ? 0 : 1);
+      default -> throw new IllegalStateException("command " + flags.getString("command"));
+    }
+  }
+
+  private static CellLayout layout(Namespace flags) {
+    Firm firm = Firm.valueOf(flags.getString("firm").toUpperCase(Locale.ROOT));
+    return new CellLayout(
+        firm, flags.getInt("base_port"), flags.getInt("entries"), flags.getInt("workers"));
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/demo/CellLayout.java
@@ -0,0 +1,97 @@
+package org.hyssopport.testkit.demo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.LiveInstance;
+import org.hyssopport.engine.platform.LiveInstance.Kind;
+import org.hyssopport.engine.platform.LiveInstance.State;
+import org.hyssopport.policy.Resources;
+
+/**
+ * The instances of a cell on the loopback interface, with their ports.
+ *
+ * @param firm the firm
+ * @param basePort the first port; the log's
+ * @param entriesPerDomain entry instances in each failure domain
+ * @param workersPerDomain workers in each failure domain
+ * @since 0.1
+ */
+public record CellLayout(Firm firm, int basePort, int entriesPerDomain, int workersPerDomain) {
+
+  private static final int ENTRY_OFFSET = 10;
+  private static final int PEER_OFFSET = 40;
+  private static final int WORKER_OFFSET = 100;
+  private static final int WORKERS_PER_RACK = 8;
+  private static final int SLOTS = 8;
+  private static final int CONNECTIONS = 64;
+
+  /** Returns the address of the log. */
+  public String log() {
+    return local(basePort);
+  }
+
+  /** Returns the address of the live list. */
+  public String liveList() {
+    return local(basePort + 1);
+  }
+
+  /** Returns all instances as the live list tells them. */
+  public List<LiveInstance> instances() {
+    List<LiveInstance> instances = new ArrayList<>();
+    int domainIndex = 0;
+    for (String domain : firm.failureDomains()) {
+      for (int index = 0; index < entriesPerDomain; index++) {
+        instances.add(entry(domain, domainIndex * entriesPerDomain + index, index + 1));
+      }
+      for (int index = 0; index < workersPerDomain; index++) {
+        instances.add(worker(domain, domainIndex * workersPerDomain + index, index + 1));
+      }
+      domainIndex++;
+    }
+    return instances;
+  }
+
+  private LiveInstance entry(String domain, int place, int number) {
+    return new LiveInstance(
+        domain + "-entry-" + number,
+        Kind.ENTRY,
+        new FailureDomain(domain),
+        domain + "-rack-0",
+        local(basePort + ENTRY_OFFSET + place),
+        Optional.of(local(basePort + PEER_OFFSET + place)),
+        State.LIVE,
+        Resources.NONE,
+        0,
+        0);
+  }
+
+  private LiveInstance worker(String domain, int place, int number) {
+    return new LiveInstance(
+        domain + "-worker-" + number,
+        Kind.WORKER,
+        new FailureDomain(domain),
+        domain + "-rack-" + (1 + (number - 1) / WORKERS_PER_RACK),
+        local(basePort + WORKER_OFFSET + place),
+        Optional.empty(),
+        State.LIVE,
+        firm.workerCapacity(),
+        SLOTS,
+        CONNECTIONS);
+  }
+
+  /** Returns the entry instances. */
+  public List<LiveInstance> entries() {
+    return instances().stream().filter(each -> each.kind() == Kind.ENTRY).toList();
+  }
+
+  /** Returns the workers. */
+  public List<LiveInstance> workers() {
+    return instances().stream().filter(each -> each.kind() == Kind.WORKER).toList();
+  }
+
+  private static String local(int port) {
+    return "127.0.0.1:" + port;
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/demo/Day.java
@@ -0,0 +1,278 @@
+package org.hyssopport.testkit.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.hyssopport.engine.platform.LiveInstance;
+import org.hyssopport.policy.Json;
+import org.hyssopport.testkit.oracle.Capacity;
+import org.hyssopport.testkit.oracle.History;
+import org.hyssopport.testkit.oracle.Oracle;
+import org.hyssopport.testkit.oracle.Run;
+import org.hyssopport.testkit.oracle.Told;
+import org.hyssopport.testkit.oracle.Told.Verdict;
+import org.hyssopport.testkit.standin.WorkScript;
+
+/**
+ * A firm's day against running processes: it asks, notes what it is told, and has it judged.
+ *
+ * @since 0.1
+ */
+public final class Day {
+
+  private static final int CHECKS = 300;
+  private static final int TICKETED_BOOKINGS = 30;
+  private static final int KEYED_BOOKINGS = 12;
+  private static final int PLANS = 12;
+  private static final int TASKS_PER_PLAN = 3;
+  private static final int GANG_TASKS = 6;
+  private static final int CALLERS = 16;
+  private static final Duration PATIENCE = Duration.ofSeconds(60);
+  private static final Duration KEY_LIFETIME = Duration.ofMinutes(30);
+
+  private final CellLayout layout;
+  private final HttpProbe probe = HttpProbe.create();
+  private final InstantSource clock = InstantSource.system();
+  private final PrintStream out;
+  private final Firm.DayPlan plan;
+  private final ConcurrentLinkedQueue<Line> lines = new ConcurrentLinkedQueue<>();
+  private final List<String> faults = new ArrayList<>();
+
+  private Day(CellLayout layout, PrintStream out) {
+    this.layout = layout;
+    this.out = out;
+    this.plan = layout.firm().dayPlan();
+  }
+
+  /** Runs the day and returns whether all that was told agrees with what was run. */
+  public static boolean run(CellLayout layout, PrintStream out) {
+    return new Day(layout, out).run();
+  }
+
+  private boolean run() {
+    askServices();
+    askJobs();
+    History history = gather();
+    List<String> violations = Oracle.judge(history);
+    printTable();
+    violations.forEach(each -> out.println("VIOLATION " + each));
+    faults.forEach(each -> out.println("FAULT " + each));
+    return violations.isEmpty() && faults.isEmpty();
+  }
+
+  private String entry(int number) {
+    List<LiveInstance> entries = layout.entries();
+    return entries.get(number % entries.size()).address();
+  }
+
+  private void askServices() {
+    ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+    for (int number = 0; number < CHECKS; number++) {
+      int each = number;
+      callers.execute(() -> check(each));
+    }
+    for (int number = 0; number < TICKETED_BOOKINGS; number++) {
+      int each = number;
+      callers.execute(() -> bookByTicket(each));
+    }
+    for (int number = 0; number < KEYED_BOOKINGS; number++) {
+      int each = number;
+      callers.execute(() -> bookByKey(each));
+    }
+    callers.shutdown();
+    try {
+      if (!callers.awaitTermination(PATIENCE.toSeconds(), TimeUnit.SECONDS)) {
+        faults.add("some callers got no answer in " + PATIENCE);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private ObjectNode request(String service, String body) {
+    ObjectNode request = Json.mapper().createObjectNode();
+    request.put("service", service);
+    request.put("body", body);
+    return request;
+  }
+
+  private void check(int number) {
+    String body = "{\"runMillis\":" + (10 + number % 40) + ",\"check\":" + number + "}";
+    ask("check", entry(number), request(plan.check(), body), Optional.empty(), body);
+  }
+
+  /** Sends the same ticket to two instances, as a caller does whose first answer got lost. */
+  private void bookByTicket(int number) {
+    Optional<HttpProbe.Page> issued = probe.post(entry(number), "/tickets", "{}");
+    if (issued.isEmpty()) {
+      synchronized (faults) {
+        faults.add("no ticket from " + entry(number));
+      }
+      return;
+    }
+    String ticket = issued.get().json().path("ticket").asText();
+    String body = "{\"runMillis\":25,\"deposit\":" + number + "}";
+    ObjectNode request = request(plan.booking(), body);
+    request.put("ticket", ticket);
+    ask("booking by ticket", entry(number), request, Optional.of(ticket), body);
+    ask("the same again", entry(number + 1), request, Optional.of(ticket), body);
+  }
+
+  private void bookByKey(int number) {
+    String key = layout.firm() + "-day-" + clock.millis() + "-" + number;
+    String body = "{\"runMillis\":25,\"pickup\":" + number + "}";
+    ObjectNode request = request(plan.booking(), body);
+    request.put("key", key);
+    request.put("keyExpiry", clock.instant().plus(KEY_LIFETIME).toEpochMilli());
+    ask("booking by key", entry(number), request, Optional.of(key), body);
+    ask("the same again", entry(number + 4), request, Optional.of(key), body);
+  }
+
+  private void ask(
+      String what, String address, ObjectNode request, Optional<String> guard, String body) {
+    Optional<HttpProbe.Page> page = probe.post(address, "/requests", request);
+    JsonNode answer =
+        page.map(HttpProbe.Page::json).orElseGet(() -> Json.mapper().createObjectNode());
+    String id = answer.path("requestId").asText("");
+    Verdict verdict =
+        answer.has("outcome") ? Verdict.valueOf(answer.path("outcome").asText()) : Verdict.UNKNOWN;
+    Optional<String> told =
+        answer.has("body") ? Optional.of(answer.path("body").asText()) : Optional.empty();
+    Optional<String> right = Optional.of(WorkScript.answerTo(body));
+    lines.add(new Line(what, new Told(id, guard, verdict, told, right)));
+  }
+
+  private void askJobs() {
+    List<String> ids = new ArrayList<>();
+    for (int number = 0; number < PLANS; number++) {
+      submit(plan.plan(), TASKS_PER_PLAN, 150 + 50L * (number % 5), number, ids);
+    }
+    submit(plan.jointPlan(), GANG_TASKS, 400, 0, ids);
+    Instant end = clock.instant().plus(PATIENCE);
+    for (String id : ids) {
+      awaitJob(id, end);
+    }
+  }
+
+  private void submit(String className, int tasks, long runMillis, int number, List<String> ids) {
+    ObjectNode job = Json.mapper().createObjectNode();
+    job.put("class", className);
+    job.put("tasks", tasks);
+    job.put("payload", "{\"runMillis\":" + runMillis + "}");
+    Optional<HttpProbe.Page> page = probe.post(entry(number), "/jobs", job);
+    if (page.isPresent() && page.get().status() == 200) {
+      ids.add(page.get().json().path("id").asText());
+    } else {
+      faults.add("job " + className + " was not accepted: " + page);
+    }
+  }
+
+  private void awaitJob(String id, Instant end) {
+    JsonNode view = Json.mapper().createObjectNode();
+    while (clock.instant().isBefore(end)) {
+      view =
+          probe
+              .get(entry(id.length()), "/jobs/" + id)
+              .map(HttpProbe.Page::json)
+              .orElseGet(() -> Json.mapper().createObjectNode());
+      if (view.path("state").asText().equals("ENDED")) {
+        break;
+      }
+      pause();
+    }
+    Verdict verdict =
+        view.has("outcome") ? Verdict.valueOf(view.path("outcome").asText()) : Verdict.UNKNOWN;
+    String what = view.path("className").asText(id);
+    for (int task = 0; task < Math.max(1, view.path("tasks").asInt()); task++) {
+      lines.add(
+          new Line(
+              what + " task",
+              new Told(
+                  id + "/" + task, Optional.empty(), verdict, Optional.empty(), Optional.empty())));
+    }
+  }
+
+  private static void pause() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(100);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private History gather() {
+    History history = History.empty();
+    lines.forEach(line -> history.add(line.told()));
+    for (LiveInstance worker : layout.workers()) {
+      history.add(
+          new Capacity(
+              worker.name(),
+              worker.capacity().milliProcessors(),
+              worker.capacity().memoryMebibytes(),
+              worker.capacity().accelerators(),
+              worker.slots()));
+      Optional<HttpProbe.Page> page = probe.get(worker.address(), "/history");
+      if (page.isEmpty()) {
+        faults.add("no history from " + worker.name());
+      } else {
+        page.get().json().forEach(node -> history.add(runOf(node)));
+      }
+    }
+    return history;
+  }
+
+  private static Run runOf(JsonNode node) {
+    Instant end =
+        node.has("endedAt")
+            ? Instant.ofEpochMilli(node.path("endedAt").asLong())
+            : Instant.ofEpochMilli(Long.MAX_VALUE);
+    JsonNode resources = node.path("resources");
+    return new Run(
+        node.path("worker").asText(),
+        node.path("task").asText(),
+        Instant.ofEpochMilli(node.path("startedAt").asLong()),
+        end,
+        resources.path("milliProcessors").asLong(),
+        resources.path("memoryMebibytes").asLong(),
+        resources.path("accelerators").asLong(),
+        node.path("result").asText().equals("DONE"));
+  }
+
+  private void printTable() {
+    Map<String, Map<Verdict, Integer>> table = new TreeMap<>();
+    for (Line line : lines) {
+      table
+          .computeIfAbsent(line.what(), what -> new TreeMap<>())
+          .merge(line.told().verdict(), 1, Integer::sum);
+      if (line.told().verdict() != Verdict.DONE) {
+        faults.add(line.what() + " " + line.told().id() + " ended " + line.told().verdict());
+      }
+    }
+    out.printf("%-24s %6s  %s%n", "asked", "count", "told");
+    table.forEach(
+        (what, verdicts) -> {
+          int count = verdicts.values().stream().mapToInt(Integer::intValue).sum();
+          out.printf("%-24s %6d  %s%n", what, count, verdicts);
+        });
+  }
+
+  /**
+   * One line of what was asked.
+   *
+   * @param what the sort of work
+   * @param told what was told
+   */
+  private record Line(String what, Told told) {}
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Oracle.java
@@ -0,0 +1,192 @@
+package org.hyssopport.testkit.oracle;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hyssopport.testkit.oracle.History.Departure;
+import org.hyssopport.testkit.oracle.History.InForce;
+import org.hyssopport.testkit.oracle.Told.Verdict;
+
+/**
+ * Finds every line of what must always hold that a history breaks.
+ *
+ * @since 0.1
+ */
+public final class Oracle {
+
+  private final History history;
+  private final List<String> violations = new ArrayList<>();
+
+  private Oracle(History history) {
+    this.history = history;
+  }
+
+  /** Returns all violations in words; none if the history is sound. */
+  public static List<String> judge(History history) {
+    Oracle oracle = new Oracle(history);
+    oracle.checkCapacity();
+    oracle.checkOnePlace();
+    oracle.checkTold();
+    oracle.checkAtMostOnce();
+    oracle.checkDepartures();
+    oracle.checkVersions();
+    return oracle.violations;
+  }
+
+  private void checkCapacity() {
+    Map<String, List<Run>> byWorker =
+        history.runs().stream().collect(Collectors.groupingBy(Run::worker));
+    for (Capacity capacity : history.capacities()) {
+      List<Run> runs = byWorker.getOrDefault(capacity.worker(), List.of());
+      for (Run run : runs) {
+        checkMoment(capacity, runs, run.start());
+      }
+    }
+  }
+
+  private void checkMoment(Capacity capacity, List<Run> runs, Instant moment) {
+    long processors = 0;
+    long memory = 0;
+    long accelerators = 0;
+    int count = 0;
+    for (Run run : runs) {
+      if (!run.start().isAfter(moment) && run.end().isAfter(moment)) {
+        processors += run.milliProcessors();
+        memory += run.memoryMebibytes();
+        accelerators += run.accelerators();
+        count++;
+      }
+    }
+    boolean over =
+        processors > capacity.milliProcessors()
+            || memory > capacity.memoryMebibytes()
+            || accelerators > capacity.accelerators()
+            || count > capacity.slots();
+    if (over) {
+      violations.add(
+          "worker "
+              + capacity.worker()
+              + " was over its capacity at "
+              + moment
+              + " with "
+              + count
+              + " runs");
+    }
+  }
+
+  private void checkOnePlace() {
+    Map<String, List<Run>> byId = history.runs().stream().collect(Collectors.groupingBy(Run::id));
+    Set<String> repeatable = new HashSet<>();
+    for (Told told : history.told()) {
+      if (told.guard().isEmpty() && told.rightBody().isPresent()) {
+        repeatable.add(told.id());
+      }
+    }
+    byId.forEach(
+        (id, runs) -> {
+          if (!repeatable.contains(id)) {
+            checkNoOverlap(id, runs);
+          }
+        });
+  }
+
+  private void checkNoOverlap(String id, List<Run> runs) {
+    List<Run> ordered = new ArrayList<>(runs);
+    ordered.sort(Comparator.comparing(Run::start));
+    for (int index = 1; index < ordered.size(); index++) {
+      Run before = ordered.get(index - 1);
+      Run after = ordered.get(index);
+      if (before.overlaps(after)) {
+        violations.add(
+            id
+                + " ran in two places at once: "
+                + before.worker()
+                + " and "
+                + after.worker()
+                + " at "
+                + after.start());
+      }
+    }
+  }
+
+  private void checkTold() {
+    Map<String, List<Run>> byId = history.runs().stream().collect(Collectors.groupingBy(Run::id));
+    Map<String, Boolean> doneByGuard = new HashMap<>();
+    for (Told told : history.told()) {
+      boolean done = byId.getOrDefault(told.id(), List.of()).stream().anyMatch(Run::done);
+      told.guard().ifPresent(guard -> doneByGuard.merge(guard, done, Boolean::logicalOr));
+    }
+    for (Told told : history.told()) {
+      List<Run> runs = byId.getOrDefault(told.id(), List.of());
+      if (told.verdict() == Verdict.NOT_RUN && !runs.isEmpty()) {
+        violations.add(told.id() + " was told not run, but ran on " + runs.get(0).worker());
+      }
+      if (told.verdict() == Verdict.DONE) {
+        boolean done = runs.stream().anyMatch(Run::done);
+        boolean doneElsewhere =
+            told.guard().map(guard -> doneByGuard.getOrDefault(guard, false)).orElse(false);
+        if (!done && !doneElsewhere) {
+          violations.add(told.id() + " was told done, but no run of it was done");
+        }
+        if (told.rightBody().isPresent() && !told.body().equals(told.rightBody())) {
+          violations.add(told.id() + " got a wrong answer: " + told.body());
+        }
+      }
+    }
+  }
+
+  private void checkAtMostOnce() {
+    Map<String, Set<String>> idsByGuard = new HashMap<>();
+    for (Told told : history.told()) {
+      told.guard()
+          .ifPresent(
+              guard -> idsByGuard.computeIfAbsent(guard, key -> new HashSet<>()).add(told.id()));
+    }
+    idsByGuard.forEach(
+        (guard, ids) -> {
+          long runs = history.runs().stream().filter(run -> ids.contains(run.id())).count();
+          if (runs > 1) {
+            violations.add(guard + " may run once, but ran " + runs + " times");
+          }
+        });
+  }
+
+  private void checkDepartures() {
+    for (Departure departure : history.departures()) {
+      for (Run run : history.runs()) {
+        boolean late = run.start().isAfter(departure.nothingAfter());
+        if (run.worker().equals(departure.worker()) && late) {
+          violations.add(
+              run.id()
+                  + " started at "
+                  + run.start()
+                  + " on "
+                  + run.worker()
+                  + ", which was leaving");
+        }
+      }
+    }
+  }
+
+  private void checkVersions() {
+    Map<String, Long> newest = new HashMap<>();
+    for (InForce version : history.versions()) {
+      long before = newest.getOrDefault(version.incarnation(), Long.MIN_VALUE);
+      if (version.version() <= before) {
+        violations.add(
+            version.incarnation()
+                + " went from configuration "
+                + before
+                + " back to "
+                + version.version());
+      }
+      newest.put(version.incarnation(), version.version());
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/standin/LiveListServer.java
@@ -0,0 +1,70 @@
+package org.hyssopport.testkit.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.hyssopport.engine.platform.LiveInstance;
+import org.hyssopport.engine.platform.LiveList;
+import org.hyssopport.policy.Json;
+import org.hyssopport.testkit.standin.StandInServer.Call;
+
+/**
+ * The stand-in live list as a process.
+ *
+ * @since 0.1
+ */
+public final class LiveListServer {
+
+  private static final int MOST_KEPT = 200;
+
+  private final InstantSource clock = InstantSource.system();
+  private final StandInServer server;
+  private final Deque<LiveList> versions = new ArrayDeque<>();
+
+  private LiveListServer(int port) throws IOException {
+    server = StandInServer.bind(port, faults -> {});
+    versions.add(new LiveList(clock.instant(), List.of()));
+    server.serve("/instances", this::handle);
+  }
+
+  /**
+   * Starts serving.
+   *
+   * @throws IOException if the port can't be taken
+   */
+  public static LiveListServer start(int port) throws IOException {
+    LiveListServer list = new LiveListServer(port);
+    list.server.start();
+    return list;
+  }
+
+  private synchronized void handle(Call call) throws JsonProcessingException {
+    if (call.exchange().getRequestMethod().equals("POST")) {
+      List<LiveInstance> instances = new ArrayList<>();
+      for (var each : call.body()) {
+        instances.add(Json.mapper().treeToValue(each, LiveInstance.class));
+      }
+      versions.add(new LiveList(clock.instant(), instances));
+      if (versions.size() > MOST_KEPT) {
+        versions.remove();
+      }
+    }
+    server.answer(call.exchange(), 200, current());
+  }
+
+  private LiveList current() {
+    Instant seen = clock.instant().minusMillis(server.faults().lagMillis());
+    LiveList newest = versions.getFirst();
+    for (LiveList version : versions) {
+      if (!version.instant().isAfter(seen)) {
+        newest = version;
+      }
+    }
+    return new LiveList(seen, newest.instances());
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/standin/LogServer.java
@@ -0,0 +1,84 @@
+package org.hyssopport.testkit.standin;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.platform.StreamName;
+import org.hyssopport.testkit.standin.StandInServer.Call;
+
+/**
+ * The stand-in log as a process.
+ *
+ * @since 0.1
+ */
+public final class LogServer {
+
+  private static final int POLL_MILLIS = 3;
+
+  private final LogModel model;
+  private final InstantSource clock = InstantSource.system();
+  private final StandInServer server;
+
+  private LogServer(LogModel model, int port) throws IOException {
+    this.model = model;
+    this.server = StandInServer.bind(port, faults -> {});
+    server.serve("/streams/", this::handle);
+    server.serve("/totals", call -> server.answer(call.exchange(), 200, model.totalAppends()));
+  }
+
+  /**
+   * Starts serving.
+   *
+   * @throws IOException if the port can't be taken
+   */
+  public static LogServer start(LogModel model, int port) throws IOException {
+    LogServer log = new LogServer(model, port);
+    log.server.start();
+    return log;
+  }
+
+  private void handle(Call call) {
+    String[] parts = call.exchange().getRequestURI().getPath().split("/", -1);
+    StreamName stream = new StreamName(parts[2]);
+    if (call.exchange().getRequestMethod().equals("POST")) {
+      append(call, stream);
+    } else {
+      Instant until = Instant.ofEpochMilli(Long.parseLong(call.query().get("wait-until")));
+      read(call, stream, until);
+    }
+  }
+
+  private void append(Call call, StreamName stream) {
+    List<LogModel.NewRecord> records = new ArrayList<>();
+    call.body()
+        .path("records")
+        .forEach(
+            each ->
+                records.add(
+                    new LogModel.NewRecord(each.path("id").asText(), each.path("body").asText())));
+    Optional<List<Long>> offsets = model.append(stream, records, clock.instant());
+    if (offsets.isPresent()) {
+      server.answer(call.exchange(), 200, offsets.get());
+    } else {
+      server.answer(call.exchange(), 429, "the cap on appends is reached");
+    }
+  }
+
+  private void read(Call call, StreamName stream, Instant until) {
+    long from = Long.parseLong(call.query().get("from"));
+    int limit = Integer.parseInt(call.query().get("limit"));
+    LogModel.Page page = model.read(stream, from, limit, clock.instant());
+    boolean lapsed = page.firstRetained() > from;
+    boolean empty = page.records().isEmpty();
+    if (empty && !lapsed && clock.instant().isBefore(until) && !server.faults().down()) {
+      server.later(POLL_MILLIS, () -> read(call, stream, until));
+    } else if (server.faults().down()) {
+      call.exchange().close();
+    } else {
+      server.answer(call.exchange(), lapsed ? 410 : 200, page);
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/standin/WorkerServer.java
@@ -0,0 +1,143 @@
+package org.hyssopport.testkit.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.hyssopport.engine.platform.AttemptId;
+import org.hyssopport.engine.platform.TaskPhase;
+import org.hyssopport.engine.platform.WorkerCall;
+import org.hyssopport.engine.platform.WorkerReply;
+import org.hyssopport.engine.platform.WorkerReport;
+import org.hyssopport.policy.Json;
+import org.hyssopport.testkit.standin.StandInServer.Call;
+
+/**
+ * A stand-in worker as a process.
+ *
+ * @since 0.1
+ */
+public final class WorkerServer {
+
+  private static final Duration REPORT_INTERVAL = Duration.ofMillis(100);
+  private static final int MOST_REPORTS = 400;
+
+  private final WorkerModel model;
+  private final InstantSource clock = InstantSource.system();
+  private final StandInServer server;
+  private final Deque<WorkerReport> reports = new ArrayDeque<>();
+
+  private WorkerServer(WorkerModel model, int port) throws IOException {
+    this.model = model;
+    this.server = StandInServer.bind(port, this::applyFaults);
+    server.serve("/lease", call -> control(call, WorkerCall.AcquireLease.class));
+    server.serve("/lease/renew", call -> control(call, WorkerCall.RenewLease.class));
+    server.serve("/lease/release", call -> control(call, WorkerCall.ReleaseLease.class));
+    server.serve("/tasks", this::tasks);
+    server.serve("/tasks/stop", call -> control(call, WorkerCall.StopTask.class));
+    server.serve("/requests", this::request);
+    server.serve("/report", call -> server.answer(call.exchange(), 200, laggingReport()));
+    server.serve("/history", call -> server.answer(call.exchange(), 200, model.history()));
+  }
+
+  /**
+   * Starts serving.
+   *
+   * @throws IOException if the port can't be taken
+   */
+  public static WorkerServer start(WorkerModel model, int port) throws IOException {
+    WorkerServer worker = new WorkerServer(model, port);
+    worker.server.repeat(REPORT_INTERVAL.toMillis(), worker::keepReport);
+    worker.server.start();
+    return worker;
+  }
+
+  private void applyFaults(FaultSwitches faults) {
+    model.setFailsEverything(faults.failsEverything());
+    model.setLeaving(faults.leaving());
+  }
+
+  private synchronized void keepReport() {
+    reports.addLast(model.report(clock.instant()));
+    if (reports.size() > MOST_REPORTS) {
+      reports.removeFirst();
+    }
+  }
+
+  private synchronized WorkerReport laggingReport() {
+    Instant seen = clock.instant().minusMillis(server.faults().lagMillis());
+    WorkerReport newest = reports.getFirst();
+    for (WorkerReport report : reports) {
+      if (!report.instant().isAfter(seen)) {
+        newest = report;
+      }
+    }
+    return newest;
+  }
+
+  private <T extends WorkerCall> void control(Call call, Class<T> type)
+      throws JsonProcessingException {
+    answer(call, model.handle(read(call.body(), type), clock.instant()));
+  }
+
+  private static <T extends WorkerCall> T read(JsonNode body, Class<T> type)
+      throws JsonProcessingException {
+    return Json.mapper().treeToValue(body, type);
+  }
+
+  private void tasks(Call call) throws JsonProcessingException {
+    if (call.exchange().getRequestMethod().equals("POST")) {
+      control(call, WorkerCall.StartTask.class);
+    } else {
+      AttemptId attempt = AttemptId.parse(call.query().get("attempt"));
+      answer(call, model.handle(new WorkerCall.ReadTask(attempt), clock.instant()));
+    }
+  }
+
+  private void request(Call call) throws JsonProcessingException {
+    WorkerCall.StartTask start = read(call.body(), WorkerCall.StartTask.class);
+    WorkerReply reply = model.handle(start, clock.instant());
+    if (reply instanceof WorkerReply.TaskState) {
+      answerAtEnd(call, start.attempt());
+    } else {
+      answer(call, reply);
+    }
+  }
+
+  private void answerAtEnd(Call call, AttemptId attempt) {
+    WorkerReply reply = model.handle(new WorkerCall.ReadTask(attempt), clock.instant());
+    boolean running =
+        reply instanceof WorkerReply.TaskState state && state.view().phase() == TaskPhase.RUNNING;
+    if (!running) {
+      answer(call, reply);
+      return;
+    }
+    Instant end = model.endOf(attempt).orElse(clock.instant());
+    long wait = Duration.between(clock.instant(), end).toMillis();
+    long bounded = Math.max(1, Math.min(wait, REPORT_INTERVAL.toMillis()));
+    server.later(bounded, () -> answerAtEnd(call, attempt));
+  }
+
+  private void answer(Call call, WorkerReply reply) {
+    Object body = reply instanceof WorkerReply.Reported reported ? reported.report() : reply;
+    server.answer(call.exchange(), statusOf(reply), body);
+  }
+
+  private static int statusOf(WorkerReply reply) {
+    if (reply instanceof WorkerReply.LeaseHeld) {
+      return 409;
+    }
+    if (reply instanceof WorkerReply.Refused refused) {
+      return switch (refused.cause()) {
+        case OLD_TOKEN, FENCED -> 409;
+        case TOO_LATE -> 410;
+        case INVALID -> 400;
+      };
+    }
+    return 200;
+  }
+}
