Fakes at the engine's interfaces and an oracle

Cause: nothing was proved under failure. The oracle now knows work by its payload, so a 'not run' told for one copy of a guarded request is a lie if another copy ran; a key that was told not to have run is therefore spent for good (it could be claimed again before).

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/KeyDesk.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/KeyDesk.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.hyssopport.engine.Request.KeyUse;
 import org.hyssopport.engine.Request.Phase;
 import org.hyssopport.engine.work.CloseCause;
 import org.hyssopport.engine.work.KeyEntry;
@@ -21,7 +20,8 @@
  * Runs requests with a caller's own key at most once: the first valid claim in the log runs.
  *
  * <p>Whoever meets a key that another request claimed waits for that request's outcome and gives
- * the same one. Without the log the outcome is unknown, since another instance may have run it.
+ * the same one, so a key that was told not to have run never runs later. Without the log the
+ * outcome is unknown, since another instance may have run it.
  */
 final class KeyDesk {
 
@@ -58,19 +58,18 @@
       return;
     }
     Optional<KeyEntry> entry = streams.fold(home).key(key);
-    boolean free = entry.map(KeyEntry::isFree).orElse(true);
-    if (!free) {
+    if (entry.isPresent()) {
       joinEarlierRun(request, key, entry.get());
     } else if (refusal.isPresent()) {
       finishUnknown(request, refusal.get());
     } else {
-      claim(request, key, home, 1 + entry.map(KeyEntry::attempt).orElse(0));
+      claim(request, key, home);
     }
   }
 
-  private void claim(Request request, String key, int home, int attempt) {
+  private void claim(Request request, String key, int home) {
     Instant expiry = request.stated().keyExpiry().orElseThrow();
-    KeyClaimed record = new KeyClaimed(key, attempt, context.self(), expiry);
+    KeyClaimed record = new KeyClaimed(key, context.self(), expiry);
     tracker.append(
         streams.name(home),
         record,
@@ -78,7 +77,7 @@
         new AppendTracker.Listener() {
           @Override
           public void applied(boolean valid) {
-            claimApplied(request, key, attempt, valid);
+            claimApplied(request, key, valid);
           }
 
           @Override
@@ -93,7 +92,7 @@
         });
   }
 
-  private void claimApplied(Request request, String key, int attempt, boolean valid) {
+  private void claimApplied(Request request, String key, boolean valid) {
     if (!valid) {
       streams
           .fold(streams.home(key))
@@ -103,7 +102,7 @@
               () -> finishUnknown(request, Reason.KEY_IN_USE));
       return;
     }
-    request.useKey(new KeyUse(key, attempt));
+    request.useKey(key);
     boolean inTime = context.now().isBefore(request.deadline());
     if (inTime && !request.askers().isEmpty() && !context.isDraining()) {
       runner.accept(request);
@@ -137,9 +136,9 @@
 
   private void closeKey(Request request) {
     request
-        .keyUse()
+        .claimedKey()
         .ifPresent(
-            use -> {
+            key -> {
               Answer.RequestAnswer answer = book.finished(request.id()).orElseThrow();
               CloseCause cause =
                   switch (answer.outcome()) {
@@ -150,8 +149,8 @@
                   };
               Optional<String> kept =
                   answer.body().filter(body -> body.length() <= LONGEST_KEPT_ANSWER);
-              KeyClosed record = new KeyClosed(use.key(), use.attempt(), cause, kept);
-              closes.put(use.key(), new PendingClose(record, context.now()));
+              KeyClosed record = new KeyClosed(key, cause, kept);
+              closes.put(key, new PendingClose(record, context.now()));
             });
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Request.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Request.java
@@ -30,7 +30,7 @@
   private boolean anyMayHaveRun;
   private boolean anyFailed;
   private Optional<EntryId> peer = Optional.empty();
-  private Optional<KeyUse> keyUse = Optional.empty();
+  private Optional<String> claimedKey = Optional.empty();
 
   Request(
       String id, ServiceRequest stated, WorkClass workClass, boolean mayBeForwarded, Instant now) {
@@ -85,12 +85,13 @@
     return peer;
   }
 
-  Optional<KeyUse> keyUse() {
-    return keyUse;
+  /** Returns the key that this request claimed in the log. */
+  Optional<String> claimedKey() {
+    return claimedKey;
   }
 
-  void useKey(KeyUse newKeyUse) {
-    keyUse = Optional.of(newKeyUse);
+  void useKey(String key) {
+    claimedKey = Optional.of(key);
   }
 
   Optional<WorkerSend> send(int attempt) {
@@ -186,12 +187,4 @@
    * @param sentAt when it was sent
    */
   record WorkerSend(WorkerId worker, long token, String bootId, Instant notAfter, Instant sentAt) {}
-
-  /**
-   * The claim under which a request with a caller's key runs.
-   *
-   * @param key the key and its expiry
-   * @param attempt the claimed attempt
-   */
-  record KeyUse(String key, int attempt) {}
 }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/work/StreamRecord.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/work/StreamRecord.java
@@ -116,26 +116,22 @@
   }
 
   /**
-   * Claims a caller's key for one run.
+   * Claims a caller's key for its only run; a second claim is invalid whatever became of the first.
    *
    * @param key the key and its expiry in one text
-   * @param attempt one more than the attempt before, which must have been proved not run
    * @param claimant the instance that will run the request
    * @param expiry when the key may be forgotten
    */
-  record KeyClaimed(String key, int attempt, EntryId claimant, Instant expiry)
-      implements StreamRecord {}
+  record KeyClaimed(String key, EntryId claimant, Instant expiry) implements StreamRecord {}
 
   /**
    * Tells how the run under a key ended.
    *
    * @param key the key and its expiry in one text
-   * @param attempt the claimed attempt
    * @param cause how it ended
    * @param answer the whole answer, if it is short enough to keep
    */
-  record KeyClosed(String key, int attempt, CloseCause cause, Optional<String> answer)
-      implements StreamRecord {}
+  record KeyClosed(String key, CloseCause cause, Optional<String> answer) implements StreamRecord {}
 
   /**
    * Repeats the whole state, so that older records may lapse.
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/work/WorkFold.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/work/WorkFold.java
@@ -147,22 +147,18 @@
   }
 
   private boolean claimKey(KeyClaimed claimed, Instant at) {
-    KeyEntry known = keys.get(claimed.key());
-    int next = known == null ? 1 : known.attempt() + 1;
-    boolean free = known == null || known.isFree();
-    if (!free || claimed.attempt() != next || !claimed.expiry().isAfter(at)) {
+    if (keys.containsKey(claimed.key()) || !claimed.expiry().isAfter(at)) {
       return false;
     }
     KeyEntry entry =
-        new KeyEntry(
-            next, claimed.claimant(), claimed.expiry(), Optional.empty(), Optional.empty());
+        new KeyEntry(claimed.claimant(), claimed.expiry(), Optional.empty(), Optional.empty());
     keys.put(claimed.key(), entry);
     return true;
   }
 
   private boolean closeKey(KeyClosed closed) {
     KeyEntry known = keys.get(closed.key());
-    if (known == null || known.attempt() != closed.attempt() || known.cause().isPresent()) {
+    if (known == null || known.cause().isPresent()) {
       return false;
     }
     keys.put(closed.key(), known.closed(closed.cause(), closed.answer()));
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/CellCallers.java
@@ -0,0 +1,266 @@
+package org.hyssopport.testkit.cell;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hyssopport.engine.Answer;
+import org.hyssopport.engine.Answer.RefusalKind;
+import org.hyssopport.engine.Event;
+import org.hyssopport.engine.JobSubmission;
+import org.hyssopport.engine.JobView;
+import org.hyssopport.engine.Outcome;
+import org.hyssopport.engine.ServiceRequest;
+import org.hyssopport.policy.Configuration;
+import org.hyssopport.testkit.oracle.Told;
+import org.hyssopport.testkit.oracle.Told.Sort;
+import org.hyssopport.testkit.oracle.Told.Verdict;
+import org.hyssopport.testkit.standin.WorkScript;
+
+/**
+ * The callers and operators of a fake cell: they send work and note what they are told.
+ *
+ * @since 0.1
+ */
+public final class CellCallers {
+
+  private static final Duration KEY_LIFETIME = Duration.ofMinutes(4);
+
+  private final FakeCell cell;
+  private final List<Submission> submissions = new ArrayList<>();
+  private final Map<String, String> acceptedJobs = new LinkedHashMap<>();
+  private final Map<String, JobView> lastViews = new LinkedHashMap<>();
+  private int lastNumber;
+  private int publicationsAccepted;
+
+  private CellCallers(FakeCell cell) {
+    this.cell = cell;
+  }
+
+  /** Returns callers of a cell. */
+  public static CellCallers of(FakeCell cell) {
+    return new CellCallers(cell);
+  }
+
+  private String payload(long runMillis) {
+    return payload(runMillis, false);
+  }
+
+  private String payload(long runMillis, boolean fails) {
+    lastNumber++;
+    return "{\"runMillis\":" + runMillis + ",\"fails\":" + fails + ",\"n\":" + lastNumber + "}";
+  }
+
+  /** Sends a repeatable request. */
+  public Submission request(String entry, String service, long runMillis, Duration patience) {
+    Submission submission = track(payload(runMillis), Sort.REPEATABLE);
+    send(entry, submission, service, patience, Optional.empty(), Optional.empty());
+    return submission;
+  }
+
+  /** Takes a ticket from one instance and sends the request to all the others given. */
+  public void bookByTicket(String issuer, List<String> receivers, String service, long runMillis) {
+    cell.call(
+        issuer,
+        Event.TicketRequested::new,
+        answer -> {
+          if (answer instanceof Answer.TicketAnswer ticket) {
+            String payload = payload(runMillis);
+            for (String receiver : receivers) {
+              Submission copy = track(payload, Sort.AT_MOST_ONCE);
+              Optional<String> text = Optional.of(ticket.ticket());
+              send(receiver, copy, service, Duration.ofSeconds(4), text, Optional.empty());
+            }
+          }
+        });
+  }
+
+  /** Sends a request with one key of the caller's own to all the instances given. */
+  public void bookByKey(List<String> receivers, String service, long runMillis) {
+    String payload = payload(runMillis);
+    Optional<String> key = Optional.of("key-" + lastNumber);
+    for (String receiver : receivers) {
+      Submission copy = track(payload, Sort.AT_MOST_ONCE);
+      send(receiver, copy, service, Duration.ofSeconds(4), Optional.empty(), key);
+    }
+  }
+
+  private Submission track(String payload, Sort sort) {
+    Submission submission = new Submission(payload, sort);
+    submissions.add(submission);
+    return submission;
+  }
+
+  private void send(
+      String entry,
+      Submission submission,
+      String service,
+      Duration patience,
+      Optional<String> ticket,
+      Optional<String> key) {
+    ServiceRequest request =
+        new ServiceRequest(
+            service,
+            Optional.of(cell.now().plus(patience)),
+            submission.sort == Sort.REPEATABLE,
+            ticket,
+            key,
+            key.map(text -> cell.now().plus(KEY_LIFETIME)),
+            submission.payload);
+    cell.call(
+        entry,
+        handle -> new Event.RequestReceived(handle, request),
+        answer -> submission.answer(answer));
+  }
+
+  /** Submits a job. */
+  public Submission submit(
+      String entry, String className, int tasks, long runMillis, boolean fails) {
+    Submission submission = track(payload(runMillis, fails), Sort.JOB);
+    JobSubmission job =
+        new JobSubmission(
+            Optional.empty(),
+            className,
+            tasks,
+            Optional.empty(),
+            Optional.empty(),
+            submission.payload);
+    cell.call(
+        entry,
+        handle -> new Event.JobSubmitted(handle, job),
+        answer -> {
+          submission.answer(answer);
+          if (answer instanceof Answer.JobAnswer accepted) {
+            acceptedJobs.put(submission.payload, accepted.view().id());
+          }
+        });
+    return submission;
+  }
+
+  /** Cancels the latest accepted jobs. */
+  public void cancel(String entry, int count) {
+    List<String> ids = new ArrayList<>(acceptedJobs.values());
+    List<String> latest = ids.subList(Math.max(0, ids.size() - count), ids.size());
+    if (!latest.isEmpty()) {
+      List<String> chosen = List.copyOf(latest);
+      cell.call(entry, handle -> new Event.JobsCancelled(handle, chosen), answer -> {});
+    }
+  }
+
+  /** Publishes a configuration on a base. */
+  public void publish(
+      String entry, long base, Configuration configuration, Consumer<Answer> answer) {
+    cell.call(
+        entry,
+        handle -> new Event.ConfigurationPublished(handle, base, configuration.toJson()),
+        told -> {
+          publicationsAccepted += told instanceof Answer.ConfigurationAnswer ? 1 : 0;
+          answer.accept(told);
+        });
+  }
+
+  /** Returns how many publications were accepted. */
+  public int publicationsAccepted() {
+    return publicationsAccepted;
+  }
+
+  /** Asks an instance how every accepted job stands. */
+  public void refreshJobs(String entry) {
+    acceptedJobs.forEach(
+        (payload, id) ->
+            cell.call(
+                entry,
+                handle -> new Event.JobQueried(handle, id),
+                answer -> {
+                  if (answer instanceof Answer.JobAnswer job) {
+                    lastViews.put(payload, job.view());
+                  }
+                }));
+  }
+
+  /** Returns the ids of accepted jobs that have not ended as far as was told. */
+  public List<String> unfinishedJobs() {
+    List<String> unfinished = new ArrayList<>();
+    acceptedJobs.forEach(
+        (payload, id) -> {
+          JobView view = lastViews.get(payload);
+          if (view == null || view.state() != JobView.State.ENDED) {
+            unfinished.add(id + " " + view);
+          }
+        });
+    return unfinished;
+  }
+
+  /** Returns the payloads of submissions that got no answer at all. */
+  public List<String> unanswered() {
+    return submissions.stream()
+        .filter(submission -> submission.verdict.isEmpty())
+        .map(submission -> submission.payload)
+        .toList();
+  }
+
+  /** Returns all submissions. */
+  public List<Submission> submissions() {
+    return List.copyOf(submissions);
+  }
+
+  /** Adds what was told to the cell's history. */
+  public void tellHistory() {
+    for (Submission submission : submissions) {
+      cell.history().add(submission.told(lastViews.get(submission.payload)));
+    }
+  }
+
+  /** One thing that a caller sent. */
+  public static final class Submission {
+
+    private final String payload;
+    private final Sort sort;
+    private Optional<Verdict> verdict = Optional.empty();
+    private Optional<String> body = Optional.empty();
+
+    private Submission(String payload, Sort sort) {
+      this.payload = payload;
+      this.sort = sort;
+    }
+
+    /** Returns what was told, if anything was. */
+    public Optional<Verdict> verdict() {
+      return verdict;
+    }
+
+    private void answer(Answer answer) {
+      if (answer instanceof Answer.RequestAnswer request) {
+        verdict = Optional.of(verdictOf(request.outcome()));
+        body = request.body();
+      } else if (answer instanceof Answer.Refused refused) {
+        boolean unknown = refused.kind() == RefusalKind.UNKNOWN_OUTCOME;
+        verdict = Optional.of(unknown ? Verdict.UNKNOWN : Verdict.NOT_RUN);
+      } else {
+        verdict = Optional.of(Verdict.UNKNOWN);
+      }
+    }
+
+    private static Verdict verdictOf(Outcome outcome) {
+      return switch (outcome) {
+        case DONE -> Verdict.DONE;
+        case FAILED -> Verdict.FAILED;
+        case NOT_RUN -> Verdict.NOT_RUN;
+        case UNKNOWN -> Verdict.UNKNOWN;
+      };
+    }
+
+    private Told told(JobView view) {
+      Verdict last = verdict.orElse(Verdict.UNKNOWN);
+      if (view != null && view.outcome().isPresent()) {
+        last = verdictOf(view.outcome().get());
+      }
+      Optional<String> right =
+          sort == Sort.JOB ? Optional.empty() : Optional.of(WorkScript.answerTo(payload));
+      return new Told(payload, sort, last, body, right);
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/CellVerdict.java
@@ -0,0 +1,134 @@
+package org.hyssopport.testkit.cell;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.Answer;
+import org.hyssopport.engine.Event;
+import org.hyssopport.engine.StatusView;
+import org.hyssopport.engine.StatusView.WorkerLine;
+import org.hyssopport.engine.platform.EntryId;
+import org.hyssopport.testkit.oracle.Capacity;
+import org.hyssopport.testkit.oracle.Oracle;
+import org.hyssopport.testkit.oracle.Run;
+import org.hyssopport.testkit.standin.RunRecord;
+import org.hyssopport.testkit.standin.WorkerModel;
+
+/**
+ * Ends a fake cell's run: heals every fault, waits, and finds everything that is wrong.
+ *
+ * @since 0.1
+ */
+public final class CellVerdict {
+
+  private static final Instant NOT_ENDED = Instant.parse("9999-01-01T00:00:00Z");
+
+  private final FakeCell cell;
+  private final CellCallers callers;
+  private final List<String> findings = new ArrayList<>();
+
+  private CellVerdict(FakeCell cell, CellCallers callers) {
+    this.cell = cell;
+    this.callers = callers;
+  }
+
+  /**
+   * Heals all faults, waits for the recovery bound, and judges.
+   *
+   * @param recovery within which everything accepted must have ended
+   * @return all findings; none if all is well
+   */
+  public static List<String> reach(FakeCell cell, CellCallers callers, Duration recovery) {
+    CellVerdict verdict = new CellVerdict(cell, callers);
+    verdict.heal();
+    cell.advance(recovery);
+    verdict.judgeSafety();
+    verdict.judgeLiveness();
+    return verdict.findings;
+  }
+
+  private void heal() {
+    cell.faults().heal();
+    for (String entry : cell.entryNames()) {
+      cell.thawEntry(entry);
+      cell.startEntry(entry);
+    }
+    for (String worker : cell.workerNames()) {
+      cell.worker(worker).setFailsEverything(false);
+    }
+  }
+
+  private void judgeSafety() {
+    for (String entry : cell.entryNames()) {
+      callers.refreshJobs(entry);
+    }
+    cell.advance(Duration.ofSeconds(1));
+    callers.tellHistory();
+    for (String name : cell.workerNames()) {
+      WorkerModel worker = cell.worker(name);
+      worker.advance(cell.now());
+      worker.history().forEach(record -> cell.history().add(runOf(record)));
+      var capacity = cell.shape().workerCapacity();
+      cell.history()
+          .add(
+              new Capacity(
+                  name,
+                  capacity.milliProcessors(),
+                  capacity.memoryMebibytes(),
+                  capacity.accelerators(),
+                  cell.shape().slots()));
+    }
+    findings.addAll(Oracle.judge(cell.history()));
+  }
+
+  private static Run runOf(RunRecord record) {
+    boolean done = record.result().map(result -> result.name().equals("DONE")).orElse(false);
+    return new Run(
+        record.worker(),
+        record.task(),
+        record.payload(),
+        record.startedAt(),
+        record.endedAt().orElse(NOT_ENDED),
+        record.resources().milliProcessors(),
+        record.resources().memoryMebibytes(),
+        record.resources().accelerators(),
+        done);
+  }
+
+  private void judgeLiveness() {
+    callers.unanswered().forEach(each -> findings.add("no answer for " + each));
+    callers.unfinishedJobs().forEach(each -> findings.add("job has not ended: " + each));
+    if (cell.cutByDrains() > 0) {
+      findings.add("graceful shutdowns cut " + cell.cutByDrains() + " callers");
+    }
+    for (String name : cell.workerNames()) {
+      Optional<EntryId> holder = cell.worker(name).holder(cell.now());
+      if (holder.isEmpty()) {
+        findings.add("worker " + name + " is held by nobody");
+      }
+    }
+    for (String entry : cell.entryNames()) {
+      cell.call(entry, Event.StatusQueried::new, this::judgeStatus);
+    }
+  }
+
+  private void judgeStatus(Answer answer) {
+    if (!(answer instanceof Answer.StatusAnswer told)) {
+      findings.add("no status: " + answer);
+      return;
+    }
+    StatusView status = told.view();
+    for (WorkerLine worker : status.workers()) {
+      if (worker.state().equals("ACTIVE") && worker.usedSlots() > 0) {
+        findings.add(
+            status.instance()
+                + " still counts "
+                + worker.usedSlots()
+                + " slots in use on "
+                + worker.name());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/FakeClock.java
@@ -0,0 +1,65 @@
+package org.hyssopport.testkit.cell;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * A clock that moves only when it is told to, and runs what is due on the way.
+ *
+ * @since 0.1
+ */
+public final class FakeClock {
+
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+  private final PriorityQueue<Due> dues =
+      new PriorityQueue<>(Comparator.comparing(Due::at).thenComparing(Due::sequence));
+  private Instant now = START;
+  private long lastSequence;
+
+  private FakeClock() {}
+
+  /** Returns a clock at a fixed start. */
+  public static FakeClock create() {
+    return new FakeClock();
+  }
+
+  /** Returns the time. */
+  public Instant now() {
+    return now;
+  }
+
+  /** Runs something at a moment. */
+  public void at(Instant moment, Runnable action) {
+    lastSequence++;
+    Instant bounded = moment.isBefore(now) ? now : moment;
+    dues.add(new Due(bounded, lastSequence, action));
+  }
+
+  /** Runs something after a while. */
+  public void after(Duration delay, Runnable action) {
+    at(now.plus(delay), action);
+  }
+
+  /** Moves on and runs everything that is due until then. */
+  public void advance(Duration length) {
+    Instant end = now.plus(length);
+    while (!dues.isEmpty() && !dues.peek().at().isAfter(end)) {
+      Due due = dues.remove();
+      now = due.at();
+      due.action().run();
+    }
+    now = end;
+  }
+
+  /**
+   * Something that is due.
+   *
+   * @param at when
+   * @param sequence keeps the order among equal moments
+   * @param action what
+   */
+  private record Due(Instant at, long sequence, Runnable action) {}
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/NetworkFaults.java
@@ -0,0 +1,150 @@
+package org.hyssopport.testkit.cell;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The faults of a fake cell's network and platform.
+ *
+ * @since 0.1
+ */
+public final class NetworkFaults {
+
+  private final Set<String> cutPairs = new HashSet<>();
+  private final Set<String> cutFromPlatform = new HashSet<>();
+  private final Set<String> downWorkers = new HashSet<>();
+  private final Map<String, Integer> lostAnswers = new HashMap<>();
+  private boolean logDown;
+  private boolean logLosesAnswers;
+  private boolean listDown;
+  private Duration logDelay = Duration.ZERO;
+  private Duration readLag = Duration.ZERO;
+  private double duplicatedShare;
+  private double crossedShare;
+  private double lostShare;
+
+  NetworkFaults() {}
+
+  /** Cuts two failure domains off from each other. */
+  public void cut(String first, String second) {
+    cutPairs.add(pair(first, second));
+  }
+
+  /** Cuts a failure domain off from the log and the live list. */
+  public void cutFromPlatform(String domain) {
+    cutFromPlatform.add(domain);
+  }
+
+  /** Makes a worker unreachable. */
+  public void setWorkerDown(String worker, boolean down) {
+    if (down) {
+      downWorkers.add(worker);
+    } else {
+      downWorkers.remove(worker);
+    }
+  }
+
+  /** Loses the answers of the next calls to a worker, after they took effect. */
+  public void loseAnswers(String worker, int count) {
+    lostAnswers.put(worker, count);
+  }
+
+  /** Makes the log refuse everything. */
+  public void setLogDown(boolean down) {
+    logDown = down;
+  }
+
+  /** Makes the log lose the answers to appends that took effect. */
+  public void setLogLosesAnswers(boolean loses) {
+    logLosesAnswers = loses;
+  }
+
+  /** Makes the live list unreachable. */
+  public void setListDown(boolean down) {
+    listDown = down;
+  }
+
+  /** Makes every append and read of the log take longer. */
+  public void setLogDelay(Duration delay) {
+    logDelay = delay;
+  }
+
+  /** Makes reads of the log show only what is older. */
+  public void setReadLag(Duration lag) {
+    readLag = lag;
+  }
+
+  /** Sets the shares of calls and messages that are duplicated, crossed or lost. */
+  public void setShares(double duplicated, double crossed, double lost) {
+    duplicatedShare = duplicated;
+    crossedShare = crossed;
+    lostShare = lost;
+  }
+
+  /** Ends every fault. */
+  public void heal() {
+    cutPairs.clear();
+    cutFromPlatform.clear();
+    downWorkers.clear();
+    lostAnswers.clear();
+    logDown = false;
+    logLosesAnswers = false;
+    listDown = false;
+    logDelay = Duration.ZERO;
+    readLag = Duration.ZERO;
+    setShares(0, 0, 0);
+  }
+
+  boolean reaches(String from, String to) {
+    return from.equals(to) || !cutPairs.contains(pair(from, to));
+  }
+
+  boolean reachesLog(String domain) {
+    return !logDown && !cutFromPlatform.contains(domain);
+  }
+
+  boolean reachesList(String domain) {
+    return !listDown && !cutFromPlatform.contains(domain);
+  }
+
+  boolean isDown(String worker) {
+    return downWorkers.contains(worker);
+  }
+
+  boolean takeLostAnswer(String worker) {
+    int left = lostAnswers.getOrDefault(worker, 0);
+    lostAnswers.put(worker, Math.max(0, left - 1));
+    return left > 0;
+  }
+
+  boolean logLosesAnswers() {
+    return logLosesAnswers;
+  }
+
+  Duration logDelay() {
+    return logDelay;
+  }
+
+  Duration readLag() {
+    return readLag;
+  }
+
+  double duplicatedShare() {
+    return duplicatedShare;
+  }
+
+  double crossedShare() {
+    return crossedShare;
+  }
+
+  double lostShare() {
+    return lostShare;
+  }
+
+  private static String pair(String first, String second) {
+    return first.compareTo(second) < 0 ? first + "|" + second : second + "|" + first;
+  }
+}
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/demo/Day.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/demo/Day.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +23,7 @@
 import org.hyssopport.testkit.oracle.Oracle;
 import org.hyssopport.testkit.oracle.Run;
 import org.hyssopport.testkit.oracle.Told;
+import org.hyssopport.testkit.oracle.Told.Sort;
 import org.hyssopport.testkit.oracle.Told.Verdict;
 import org.hyssopport.testkit.standin.WorkScript;
 
@@ -110,7 +112,7 @@
 
   private void check(int number) {
     String body = "{\"runMillis\":" + (10 + number % 40) + ",\"check\":" + number + "}";
-    ask("check", entry(number), request(plan.check(), body), Optional.empty(), body);
+    ask("check", entry(number), request(plan.check(), body), Sort.REPEATABLE, body);
   }
 
   /** Sends the same ticket to two instances, as a caller does whose first answer got lost. */
@@ -126,8 +128,8 @@
     String body = "{\"runMillis\":25,\"deposit\":" + number + "}";
     ObjectNode request = request(plan.booking(), body);
     request.put("ticket", ticket);
-    ask("booking by ticket", entry(number), request, Optional.of(ticket), body);
-    ask("the same again", entry(number + 1), request, Optional.of(ticket), body);
+    ask("booking by ticket", entry(number), request, Sort.AT_MOST_ONCE, body);
+    ask("the same again", entry(number + 1), request, Sort.AT_MOST_ONCE, body);
   }
 
   private void bookByKey(int number) {
@@ -136,50 +138,48 @@
     ObjectNode request = request(plan.booking(), body);
     request.put("key", key);
     request.put("keyExpiry", clock.instant().plus(KEY_LIFETIME).toEpochMilli());
-    ask("booking by key", entry(number), request, Optional.of(key), body);
-    ask("the same again", entry(number + 4), request, Optional.of(key), body);
+    ask("booking by key", entry(number), request, Sort.AT_MOST_ONCE, body);
+    ask("the same again", entry(number + 4), request, Sort.AT_MOST_ONCE, body);
   }
 
-  private void ask(
-      String what, String address, ObjectNode request, Optional<String> guard, String body) {
+  private void ask(String what, String address, ObjectNode request, Sort sort, String body) {
     Optional<HttpProbe.Page> page = probe.post(address, "/requests", request);
     JsonNode answer =
         page.map(HttpProbe.Page::json).orElseGet(() -> Json.mapper().createObjectNode());
-    String id = answer.path("requestId").asText("");
     Verdict verdict =
         answer.has("outcome") ? Verdict.valueOf(answer.path("outcome").asText()) : Verdict.UNKNOWN;
     Optional<String> told =
         answer.has("body") ? Optional.of(answer.path("body").asText()) : Optional.empty();
     Optional<String> right = Optional.of(WorkScript.answerTo(body));
-    lines.add(new Line(what, new Told(id, guard, verdict, told, right)));
+    lines.add(new Line(what, new Told(body, sort, verdict, told, right)));
   }
 
   private void askJobs() {
-    List<String> ids = new ArrayList<>();
+    Map<String, String> payloads = new LinkedHashMap<>();
     for (int number = 0; number < PLANS; number++) {
-      submit(plan.plan(), TASKS_PER_PLAN, 150 + 50L * (number % 5), number, ids);
+      submit(plan.plan(), TASKS_PER_PLAN, 150 + 50L * (number % 5), number, payloads);
     }
-    submit(plan.jointPlan(), GANG_TASKS, 400, 0, ids);
+    submit(plan.jointPlan(), GANG_TASKS, 400, PLANS, payloads);
     Instant end = clock.instant().plus(PATIENCE);
-    for (String id : ids) {
-      awaitJob(id, end);
-    }
+    payloads.forEach((id, payload) -> awaitJob(id, payload, end));
   }
 
-  private void submit(String className, int tasks, long runMillis, int number, List<String> ids) {
+  private void submit(
+      String className, int tasks, long runMillis, int number, Map<String, String> payloads) {
     ObjectNode job = Json.mapper().createObjectNode();
     job.put("class", className);
     job.put("tasks", tasks);
-    job.put("payload", "{\"runMillis\":" + runMillis + "}");
+    String payload = "{\"runMillis\":" + runMillis + ",\"job\":" + number + "}";
+    job.put("payload", payload);
     Optional<HttpProbe.Page> page = probe.post(entry(number), "/jobs", job);
     if (page.isPresent() && page.get().status() == 200) {
-      ids.add(page.get().json().path("id").asText());
+      payloads.put(page.get().json().path("id").asText(), payload);
     } else {
       faults.add("job " + className + " was not accepted: " + page);
     }
   }
 
-  private void awaitJob(String id, Instant end) {
+  private void awaitJob(String id, String payload, Instant end) {
     JsonNode view = Json.mapper().createObjectNode();
     while (clock.instant().isBefore(end)) {
       view =
@@ -195,13 +195,8 @@
     Verdict verdict =
         view.has("outcome") ? Verdict.valueOf(view.path("outcome").asText()) : Verdict.UNKNOWN;
     String what = view.path("className").asText(id);
-    for (int task = 0; task < Math.max(1, view.path("tasks").asInt()); task++) {
-      lines.add(
-          new Line(
-              what + " task",
-              new Told(
-                  id + "/" + task, Optional.empty(), verdict, Optional.empty(), Optional.empty())));
-    }
+    Told told = new Told(payload, Sort.JOB, verdict, Optional.empty(), Optional.empty());
+    lines.add(new Line(what + " job", told));
   }
 
   private static void pause() {
@@ -242,6 +237,7 @@
     return new Run(
         node.path("worker").asText(),
         node.path("task").asText(),
+        node.path("payload").asText(),
         Instant.ofEpochMilli(node.path("startedAt").asLong()),
         end,
         resources.path("milliProcessors").asLong(),
@@ -257,7 +253,7 @@
           .computeIfAbsent(line.what(), what -> new TreeMap<>())
           .merge(line.told().verdict(), 1, Integer::sum);
       if (line.told().verdict() != Verdict.DONE) {
-        faults.add(line.what() + " " + line.told().id() + " ended " + line.told().verdict());
+        faults.add(line.what() + " " + line.told().work() + " ended " + line.told().verdict());
       }
     }
     out.printf("%-24s %6s  %s%n", "asked", "count", "told");
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Oracle.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Oracle.java
@@ -4,13 +4,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.hyssopport.testkit.oracle.History.Departure;
 import org.hyssopport.testkit.oracle.History.InForce;
+import org.hyssopport.testkit.oracle.Told.Sort;
 import org.hyssopport.testkit.oracle.Told.Verdict;
 
 /**
@@ -81,19 +81,15 @@
   }
 
   private void checkOnePlace() {
-    Map<String, List<Run>> byId = history.runs().stream().collect(Collectors.groupingBy(Run::id));
-    Set<String> repeatable = new HashSet<>();
-    for (Told told : history.told()) {
-      if (told.guard().isEmpty() && told.rightBody().isPresent()) {
-        repeatable.add(told.id());
-      }
-    }
-    byId.forEach(
-        (id, runs) -> {
-          if (!repeatable.contains(id)) {
-            checkNoOverlap(id, runs);
-          }
-        });
+    Set<String> repeatable =
+        history.told().stream()
+            .filter(told -> told.sort() == Sort.REPEATABLE)
+            .map(Told::work)
+            .collect(Collectors.toSet());
+    history.runs().stream()
+        .filter(run -> !repeatable.contains(run.work()))
+        .collect(Collectors.groupingBy(Run::task))
+        .forEach(this::checkNoOverlap);
   }
 
   private void checkNoOverlap(String id, List<Run> runs) {
@@ -116,45 +112,34 @@
   }
 
   private void checkTold() {
-    Map<String, List<Run>> byId = history.runs().stream().collect(Collectors.groupingBy(Run::id));
-    Map<String, Boolean> doneByGuard = new HashMap<>();
-    for (Told told : history.told()) {
-      boolean done = byId.getOrDefault(told.id(), List.of()).stream().anyMatch(Run::done);
-      told.guard().ifPresent(guard -> doneByGuard.merge(guard, done, Boolean::logicalOr));
-    }
+    Map<String, List<Run>> byWork =
+        history.runs().stream().collect(Collectors.groupingBy(Run::work));
     for (Told told : history.told()) {
-      List<Run> runs = byId.getOrDefault(told.id(), List.of());
+      List<Run> runs = byWork.getOrDefault(told.work(), List.of());
       if (told.verdict() == Verdict.NOT_RUN && !runs.isEmpty()) {
-        violations.add(told.id() + " was told not run, but ran on " + runs.get(0).worker());
+        violations.add(told.work() + " was told not run, but ran on " + runs.get(0).worker());
       }
-      if (told.verdict() == Verdict.DONE) {
-        boolean done = runs.stream().anyMatch(Run::done);
-        boolean doneElsewhere =
-            told.guard().map(guard -> doneByGuard.getOrDefault(guard, false)).orElse(false);
-        if (!done && !doneElsewhere) {
-          violations.add(told.id() + " was told done, but no run of it was done");
-        }
-        if (told.rightBody().isPresent() && !told.body().equals(told.rightBody())) {
-          violations.add(told.id() + " got a wrong answer: " + told.body());
-        }
+      if (told.verdict() == Verdict.DONE && runs.stream().noneMatch(Run::done)) {
+        violations.add(told.work() + " was told done, but no run of it was done");
+      }
+      boolean checked = told.verdict() == Verdict.DONE && told.rightBody().isPresent();
+      if (checked && !told.body().equals(told.rightBody())) {
+        violations.add(told.work() + " got a wrong answer: " + told.body());
       }
     }
   }
 
   private void checkAtMostOnce() {
-    Map<String, Set<String>> idsByGuard = new HashMap<>();
-    for (Told told : history.told()) {
-      told.guard()
-          .ifPresent(
-              guard -> idsByGuard.computeIfAbsent(guard, key -> new HashSet<>()).add(told.id()));
-    }
-    idsByGuard.forEach(
-        (guard, ids) -> {
-          long runs = history.runs().stream().filter(run -> ids.contains(run.id())).count();
-          if (runs > 1) {
-            violations.add(guard + " may run once, but ran " + runs + " times");
-          }
-        });
+    Map<String, Long> runsByWork =
+        history.runs().stream().collect(Collectors.groupingBy(Run::work, Collectors.counting()));
+    history.told().stream()
+        .filter(told -> told.sort() == Sort.AT_MOST_ONCE)
+        .map(Told::work)
+        .distinct()
+        .filter(work -> runsByWork.getOrDefault(work, 0L) > 1)
+        .forEach(
+            work ->
+                violations.add(work + " may run once, but ran " + runsByWork.get(work) + " times"));
   }
 
   private void checkDepartures() {
@@ -163,7 +148,7 @@
         boolean late = run.start().isAfter(departure.nothingAfter());
         if (run.worker().equals(departure.worker()) && late) {
           violations.add(
-              run.id()
+              run.task()
                   + " started at "
                   + run.start()
                   + " on "
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Run.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Run.java
@@ -6,7 +6,8 @@
  * One run on a worker.
  *
  * @param worker the worker
- * @param id the request or task
+ * @param task the request or task
+ * @param work the payload
  * @param start when it started
  * @param end when it ended; far in the future if it has not
  * @param milliProcessors thousandths of a processor that it held
@@ -17,7 +18,8 @@
  */
 public record Run(
     String worker,
-    String id,
+    String task,
+    String work,
     Instant start,
     Instant end,
     long milliProcessors,
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Told.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Told.java
@@ -5,19 +5,25 @@
 /**
  * What a caller was told at last about one piece of work.
  *
- * @param id the request or task
- * @param guard the ticket or key that allows one run at most; empty for repeatable work
+ * @param work the payload, which no other piece of work has
+ * @param sort how often it may run
  * @param verdict the outcome
  * @param body the answer that came with it
  * @param rightBody the only right answer, if it is checked
  * @since 0.1
  */
 public record Told(
-    String id,
-    Optional<String> guard,
-    Verdict verdict,
-    Optional<String> body,
-    Optional<String> rightBody) {
+    String work, Sort sort, Verdict verdict, Optional<String> body, Optional<String> rightBody) {
+
+  /** How often work may run. */
+  public enum Sort {
+    /** Running it twice does no harm. */
+    REPEATABLE,
+    /** It runs once at most, however often it is sent. */
+    AT_MOST_ONCE,
+    /** Each of its tasks runs in one place at a time. */
+    JOB
+  }
 
   /** The outcomes. */
   public enum Verdict {
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/FuzzRun.java
@@ -0,0 +1,101 @@
+package org.hyssopport.testkit.cell;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssopport.engine.Answer;
+import org.hyssopport.engine.EngineSettings;
+import org.hyssopport.engine.Event;
+import org.hyssopport.policy.Configuration;
+import org.hyssopport.policy.Resources;
+import org.hyssopport.policy.Team;
+import org.hyssopport.policy.WorkClass;
+import org.hyssopport.testkit.cell.FakeCell.CellShape;
+
+/** A fake cell under stateful fuzzing: what the steps act on. */
+final class FuzzRun {
+
+  static final Duration RECOVERY = Duration.ofSeconds(150);
+
+  private final FakeCell cell;
+  private final CellCallers callers;
+
+  private FuzzRun(FakeCell cell) {
+    this.cell = cell;
+    this.callers = CellCallers.of(cell);
+  }
+
+  static FuzzRun create(long seed) {
+    EngineSettings settings =
+        EngineSettings.standard()
+            .lasting(Duration.ofSeconds(20), Duration.ofSeconds(5), Duration.ofSeconds(600));
+    CellShape shape =
+        new CellShape(
+            List.of("north", "south"),
+            2,
+            3,
+            Resources.of(4, 8192, 1),
+            4,
+            Duration.ofSeconds(1),
+            settings);
+    FuzzRun run = new FuzzRun(FakeCell.create(shape, seed));
+    run.cell.advance(Duration.ofSeconds(4));
+    run.callers.publish("north-e1", -1, configuration(0), answer -> {});
+    run.cell.advance(Duration.ofSeconds(4));
+    return run;
+  }
+
+  static Configuration configuration(int number) {
+    return Configuration.named("cell-" + number)
+        .with(Team.named("team", Resources.of(400, 800_000, 100)))
+        .with(WorkClass.service("check", "team").running(Duration.ofMillis(60)))
+        .with(WorkClass.service("deposit", "team").running(Duration.ofMillis(60)))
+        .with(WorkClass.batch("plan", "team").holding(Resources.of(1, 1024, 0)))
+        .with(WorkClass.gang("joint", "team").holding(Resources.of(2, 2048, 0)).attempting(5));
+  }
+
+  FakeCell cell() {
+    return cell;
+  }
+
+  CellCallers callers() {
+    return callers;
+  }
+
+  String entry(int number) {
+    List<String> names = cell.entryNames();
+    return names.get(Math.floorMod(number, names.size()));
+  }
+
+  String worker(int number) {
+    List<String> names = cell.workerNames();
+    return names.get(Math.floorMod(number, names.size()));
+  }
+
+  List<String> entries(int number, int count) {
+    List<String> chosen = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      chosen.add(entry(number + index));
+    }
+    return chosen;
+  }
+
+  /** Lets two operators change the configuration on the same base. */
+  void race(int number) {
+    cell.call(
+        entry(number),
+        Event.ConfigurationQueried::new,
+        answer -> {
+          if (answer instanceof Answer.ConfigurationAnswer known) {
+            for (int operator = 0; operator < 2; operator++) {
+              Configuration change = configuration(number * 2 + operator);
+              callers.publish(entry(number + operator), known.version(), change, told -> {});
+            }
+          }
+        });
+  }
+
+  List<String> finish() {
+    return CellVerdict.reach(cell, callers, RECOVERY);
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the cell. */
+package org.hyssopport.testkit.cell;
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/oracle/OracleTests.java
@@ -0,0 +1,133 @@
+package org.hyssopport.testkit.oracle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.testkit.oracle.History.Departure;
+import org.hyssopport.testkit.oracle.History.InForce;
+import org.hyssopport.testkit.oracle.Told.Sort;
+import org.hyssopport.testkit.oracle.Told.Verdict;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The oracle accepts a sound history and rejects one that breaks any line. */
+class OracleTests {
+
+  @Test
+  void soundHistoryHasNoViolations() {
+    assertEquals(List.of(), Oracle.judge(sound()));
+  }
+
+  @ParameterizedTest
+  @EnumSource(Break.class)
+  void brokenHistoryIsRejected(Break way) {
+    History history = sound();
+    way.breakIt(history);
+    List<String> violations = Oracle.judge(history);
+    assertTrue(
+        violations.stream().anyMatch(each -> each.contains(way.words)), violations::toString);
+  }
+
+  private static History sound() {
+    History history = History.empty();
+    history.add(new Capacity("w1", 2000, 2048, 1, 2));
+    history.add(run("w1", "r1", "a", 0, 10, true));
+    history.add(run("w1", "j/0", "b", 5, 20, true));
+    history.add(told("a", Sort.AT_MOST_ONCE, Verdict.DONE, "right"));
+    history.add(told("b", Sort.JOB, Verdict.DONE, "right"));
+    history.add(told("c", Sort.REPEATABLE, Verdict.NOT_RUN, "right"));
+    history.add(new Departure("w1", Instant.ofEpochSecond(100)));
+    history.add(new InForce("e1", 1));
+    history.add(new InForce("e1", 4));
+    return history;
+  }
+
+  private static Run run(
+      String worker, String task, String work, long start, long end, boolean done) {
+    return new Run(
+        worker,
+        task,
+        work,
+        Instant.ofEpochSecond(start),
+        Instant.ofEpochSecond(end),
+        1000,
+        1024,
+        0,
+        done);
+  }
+
+  private static Told told(String work, Sort sort, Verdict verdict, String body) {
+    return new Told(work, sort, verdict, Optional.of(body), Optional.of("right"));
+  }
+
+  /** The ways to break a history. */
+  private enum Break {
+    OVER_CAPACITY("over its capacity") {
+      @Override
+      void breakIt(History history) {
+        history.add(run("w1", "r9", "z", 6, 7, true));
+      }
+    },
+    OVER_ACCELERATORS("over its capacity") {
+      @Override
+      void breakIt(History history) {
+        Instant start = Instant.ofEpochSecond(30);
+        history.add(new Run("w1", "r9", "z", start, start.plusSeconds(1), 1, 1, 2, true));
+      }
+    },
+    TWO_PLACES("two places") {
+      @Override
+      void breakIt(History history) {
+        history.add(run("w2", "j/0", "b", 19, 30, true));
+      }
+    },
+    TOLD_NOT_RUN_BUT_RAN("told not run") {
+      @Override
+      void breakIt(History history) {
+        history.add(run("w2", "r3", "c", 40, 41, false));
+      }
+    },
+    TOLD_DONE_BUT_NEVER_DONE("no run of it was done") {
+      @Override
+      void breakIt(History history) {
+        history.add(told("d", Sort.REPEATABLE, Verdict.DONE, "right"));
+      }
+    },
+    WRONG_ANSWER("wrong answer") {
+      @Override
+      void breakIt(History history) {
+        history.add(told("a", Sort.AT_MOST_ONCE, Verdict.DONE, "of another"));
+      }
+    },
+    RAN_TWICE("ran 2 times") {
+      @Override
+      void breakIt(History history) {
+        history.add(run("w2", "r2", "a", 50, 51, true));
+      }
+    },
+    STARTED_AFTER_DEPARTURE("was leaving") {
+      @Override
+      void breakIt(History history) {
+        history.add(run("w1", "r8", "y", 101, 102, true));
+      }
+    },
+    REVERTED("back to") {
+      @Override
+      void breakIt(History history) {
+        history.add(new InForce("e1", 3));
+      }
+    };
+
+    private final String words;
+
+    Break(String words) {
+      this.words = words;
+    }
+
+    abstract void breakIt(History history);
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/oracle/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the oracle. */
+package org.hyssopport.testkit.oracle;
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the test kit. */
+package org.hyssopport.testkit;
