Answers that name another attempt, and refusals of guarded requests, no longer mislead

(1) A crossed answer to a state query was taken for the request's own: only the first call was checked. (2) A guarded request sent to an instance without a configuration, or with an expired key, was told 'not run' although another copy had run. (3) An instance left while an operator or a job submitter still waited. (4) A query for a peer's request id could stay unanswered. Ruled out: two places at once and over capacity after a worker's restart were counted twice by the stand-in worker's own history; mended there.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Dispatcher.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Dispatcher.java
@@ -182,26 +182,19 @@
 
   /** Takes a reply about an attempt of a request. */
   void replied(HeldWorker worker, WorkerCall call, AttemptId attempt, WorkerReply reply) {
-    WorkerReply checked = call instanceof StartTask ? rejectCrossed(attempt, reply) : reply;
-    if (checked instanceof WorkerReply.TaskState state && hasEnded(state)) {
+    if (reply instanceof WorkerReply.TaskState state && hasEnded(state)) {
       release(worker, attempt);
     }
     Optional<Request> request = book.active(attempt.task());
     if (request.isEmpty()) {
-      if (checked instanceof WorkerReply.Refused || isUnsent(checked)) {
+      if (reply instanceof WorkerReply.Refused || isUnsent(reply)) {
         release(worker, attempt);
-      } else if (checked instanceof WorkerReply.Failed) {
+      } else if (reply instanceof WorkerReply.Failed) {
         leaveToReports(worker, attempt);
       }
       return;
     }
-    apply(request.get(), worker, call, attempt, checked);
-  }
-
-  private static WorkerReply rejectCrossed(AttemptId attempt, WorkerReply reply) {
-    boolean crossed =
-        reply instanceof WorkerReply.TaskState state && !state.view().attempt().equals(attempt);
-    return crossed ? new WorkerReply.Failed(true) : reply;
+    apply(request.get(), worker, call, attempt, reply);
   }
 
   private static boolean hasEnded(WorkerReply.TaskState state) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/EngineContext.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/EngineContext.java
@@ -20,6 +20,7 @@
   private List<Effect> effects = new ArrayList<>();
   private Instant now = Instant.EPOCH;
   private long lastId;
+  private int openHandles;
   private boolean draining;
   private Optional<Configuration> configuration = Optional.empty();
 
@@ -93,7 +94,17 @@
     emit(new Effect.Note(kind, subject.toString(), detail.toString()));
   }
 
+  /** Counts a caller that waits for its one reply. */
+  void openHandle() {
+    openHandles++;
+  }
+
+  int openHandles() {
+    return openHandles;
+  }
+
   void reply(long handle, Answer answer) {
+    openHandles--;
     emit(new Effect.Reply(handle, answer));
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/EntryEngine.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/EntryEngine.java
@@ -10,6 +10,7 @@
 import org.hyssopport.engine.platform.FailureDomain;
 import org.hyssopport.engine.platform.StreamName;
 import org.hyssopport.engine.platform.WorkerCall;
+import org.hyssopport.engine.platform.WorkerReply;
 import org.hyssopport.engine.work.ConfigurationFold;
 import org.hyssopport.engine.work.StreamFollower.AppliedRecord;
 import org.hyssopport.engine.work.StreamRecord.StreamOwned;
@@ -139,6 +140,7 @@
   }
 
   private void applyRequest(Event event) {
+    context.openHandle();
     if (event instanceof Event.RequestReceived received) {
       requests.receive(received.handle(), received.request());
     } else if (event instanceof Event.RequestQueried queried) {
@@ -230,14 +232,22 @@
     if (worker.isEmpty()) {
       return;
     }
+    WorkerReply reply = withoutCrossed(attempt.get(), event.reply());
     boolean kept = streams.job(jobOf(attempt.get())).isPresent();
     if (kept) {
-      attempts.replied(worker.get(), call, attempt.get(), event.reply());
+      attempts.replied(worker.get(), call, attempt.get(), reply);
     } else {
-      dispatcher.replied(worker.get(), call, attempt.get(), event.reply());
+      dispatcher.replied(worker.get(), call, attempt.get(), reply);
     }
   }
 
+  /** Treats a reply that speaks of another attempt as no reply. */
+  private static WorkerReply withoutCrossed(AttemptId attempt, WorkerReply reply) {
+    boolean crossed =
+        reply instanceof WorkerReply.TaskState state && !state.view().attempt().equals(attempt);
+    return crossed ? new WorkerReply.Failed(true) : reply;
+  }
+
   private static String jobOf(AttemptId attempt) {
     int slash = attempt.task().lastIndexOf('/');
     return slash < 0 ? attempt.task() : attempt.task().substring(0, slash);
@@ -321,7 +331,8 @@
 
   private void continueDraining() {
     boolean idle =
-        book.openAskers() == 0
+        context.openHandles() == 0
+            && book.openAskers() == 0
             && dispatcher.waiting() == 0
             && batch.isIdle()
             && gangs.isIdle()
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Forwarder.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Forwarder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -27,6 +28,7 @@
 final class Forwarder {
 
   private static final Duration FIRST_QUERY_DELAY = Duration.ofMillis(400);
+  private static final Duration REMOTE_QUERY_PATIENCE = Duration.ofSeconds(2);
   private static final Duration QUERY_INTERVAL = Duration.ofMillis(250);
 
   private final EngineContext context;
@@ -34,7 +36,7 @@
   private final RequestBook book;
   private final Map<AttemptId, Outstanding> outstanding = new LinkedHashMap<>();
   private final Map<AttemptId, Received> received = new LinkedHashMap<>();
-  private final Map<AttemptId, Long> remoteQueries = new HashMap<>();
+  private final Map<AttemptId, RemoteQuery> remoteQueries = new HashMap<>();
   private Instant nextCheck = Instant.EPOCH;
 
   Forwarder(EngineContext context, Membership membership, RequestBook book) {
@@ -110,7 +112,11 @@
     peer.ifPresent(
         found -> {
           AttemptId query = new AttemptId(requestId, 0);
-          remoteQueries.put(query, handle);
+          Instant deadline = context.now().plus(REMOTE_QUERY_PATIENCE);
+          remoteQueries.merge(
+              query,
+              new RemoteQuery(List.of(handle), deadline),
+              (known, added) -> known.joinedBy(handle));
           emit(found, new ForwardQuery(query));
         });
     return peer.isPresent();
@@ -135,9 +141,8 @@
     membership
         .peer(sender)
         .ifPresent(peer -> peer.update(message.freeShortSlots(), message.freeLongSlots()));
-    Long handle = remoteQueries.remove(message.attempt());
-    if (handle != null) {
-      context.reply(handle, Answers.notFound("request", message.attempt().task()));
+    String requestId = message.attempt().task();
+    if (answerQuery(message.attempt(), Answers.notFound("request", requestId))) {
       return Optional.empty();
     }
     outstanding.remove(message.attempt());
@@ -146,12 +151,10 @@
 
   /** Takes a peer's outcome, and returns the request if that is still the current attempt. */
   Optional<Request> answered(EntryId sender, ForwardAnswered message) {
-    Long handle = remoteQueries.remove(message.attempt());
-    if (handle != null) {
-      context.reply(
-          handle,
-          new Answer.RequestAnswer(
-              message.attempt().task(), message.outcome(), message.reason(), message.body()));
+    Answer told =
+        new Answer.RequestAnswer(
+            message.attempt().task(), message.outcome(), message.reason(), message.body());
+    if (answerQuery(message.attempt(), told)) {
       return Optional.empty();
     }
     if (message.outcome() != Outcome.UNKNOWN) {
@@ -163,6 +166,25 @@
     return currentAt(message.attempt(), sender);
   }
 
+  private boolean answerQuery(AttemptId attempt, Answer answer) {
+    RemoteQuery query = remoteQueries.remove(attempt);
+    if (query != null) {
+      query.handles().forEach(handle -> context.reply(handle, answer));
+    }
+    return query != null;
+  }
+
+  private void answerLateQueries() {
+    List<AttemptId> late =
+        remoteQueries.entrySet().stream()
+            .filter(entry -> context.now().isAfter(entry.getValue().deadline()))
+            .map(Map.Entry::getKey)
+            .toList();
+    for (AttemptId attempt : late) {
+      answerQuery(attempt, Answers.unknown(attempt.task(), Reason.ISSUER_UNREACHABLE));
+    }
+  }
+
   private Optional<Request> currentAt(AttemptId attempt, EntryId sender) {
     return book.active(attempt.task())
         .filter(request -> request.currentAttempt().equals(attempt))
@@ -238,8 +260,9 @@
       return List.of();
     }
     nextCheck = context.now().plus(QUERY_INTERVAL.dividedBy(5));
+    answerLateQueries();
     received.values().removeIf(known -> context.now().isAfter(known.forgetAt()));
-    List<Request> orphaned = new java.util.ArrayList<>();
+    List<Request> orphaned = new ArrayList<>();
     Iterator<Map.Entry<AttemptId, Outstanding>> entries = outstanding.entrySet().iterator();
     while (entries.hasNext()) {
       Map.Entry<AttemptId, Outstanding> entry = entries.next();
@@ -284,6 +307,21 @@
     }
   }
 
+  /**
+   * Callers that wait for the issuer's answer.
+   *
+   * @param handles the callers
+   * @param deadline until when they wait
+   */
+  private record RemoteQuery(List<Long> handles, Instant deadline) {
+
+    RemoteQuery joinedBy(long handle) {
+      List<Long> longer = new ArrayList<>(handles);
+      longer.add(handle);
+      return new RemoteQuery(List.copyOf(longer), deadline);
+    }
+  }
+
   /**
    * A request that a peer passed on.
    *
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Reason.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Reason.java
@@ -30,6 +30,8 @@
   KEY_IN_USE("the key was claimed by an earlier request whose end is not known yet"),
   /** The key was used and its run has ended. */
   KEY_USED("the key was used before; this is the outcome of that request"),
+  /** The key's expiry has passed. */
+  KEY_EXPIRED("the key has expired, so what became of it is not known any more"),
   /** The log can't be written. */
   LOG_UNAVAILABLE("the log can't be written now, so nothing was started"),
   /** The log's answer was lost. */
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/RequestDesk.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/RequestDesk.java
@@ -48,7 +48,7 @@
 
   void receive(long handle, ServiceRequest stated) {
     if (context.configuration().isEmpty()) {
-      context.reply(handle, Answers.unavailable(Reason.NOT_READY));
+      context.reply(handle, refusedHere(stated, Reason.NOT_READY));
       return;
     }
     Configuration configuration = context.configuration().get();
@@ -71,6 +71,12 @@
     }
   }
 
+  /** Returns the answer to a request that is not taken; a guarded one may have run elsewhere. */
+  private Answer.RequestAnswer refusedHere(ServiceRequest stated, Reason reason) {
+    String id = context.newId();
+    return stated.isGuarded() ? Answers.unknown(id, reason) : Answers.notRun(id, reason);
+  }
+
   private static List<Finding> check(ServiceRequest stated, Configuration configuration) {
     List<Finding> findings = new ArrayList<>();
     Optional<WorkClass> workClass = configuration.classNamed(stated.service());
@@ -89,8 +95,7 @@
     if (stated.key().isPresent() && stated.ticket().isPresent()) {
       findings.add(new Finding("key", "can't be used together with a ticket"));
     }
-    boolean guarded = stated.key().isPresent() || stated.ticket().isPresent();
-    if (stated.repeatable() == guarded) {
+    if (stated.repeatable() == stated.isGuarded()) {
       findings.add(
           new Finding("repeatable", "must be true without, and false with a ticket or a key"));
     }
@@ -204,8 +209,7 @@
       return;
     }
     if (!context.now().isBefore(stated.keyExpiry().get())) {
-      Finding finding = new Finding("keyExpiry", "has passed, so the key is refused");
-      context.reply(handle, new Answer.Refused(RefusalKind.INVALID, List.of(finding)));
+      context.reply(handle, refusedHere(stated, Reason.KEY_EXPIRED));
       return;
     }
     book.add(request);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/ServiceRequest.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/ServiceRequest.java
@@ -24,6 +24,11 @@
     Optional<Instant> keyExpiry,
     String body) {
 
+  /** Tells whether a ticket or a key allows one run at most. */
+  boolean isGuarded() {
+    return ticket.isPresent() || key.isPresent();
+  }
+
   /** Returns this request with a deadline. */
   ServiceRequest due(Instant newDeadline) {
     return new ServiceRequest(
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/CellVerdict.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/CellVerdict.java
@@ -23,6 +23,7 @@
  */
 public final class CellVerdict {
 
+  private static final Duration DRAIN_BOUND = Duration.ofSeconds(40);
   private static final Instant NOT_ENDED = Instant.parse("9999-01-01T00:00:00Z");
 
   private final FakeCell cell;
@@ -43,6 +44,8 @@
   public static List<String> reach(FakeCell cell, CellCallers callers, Duration recovery) {
     CellVerdict verdict = new CellVerdict(cell, callers);
     verdict.heal();
+    cell.advance(DRAIN_BOUND);
+    verdict.restartDrained();
     cell.advance(recovery);
     verdict.judgeSafety();
     verdict.judgeLiveness();
@@ -60,6 +63,16 @@
     }
   }
 
+  private void restartDrained() {
+    for (String entry : cell.entryNames()) {
+      if (cell.isDraining(entry)) {
+        findings.add(entry + " has not drained");
+        cell.killEntry(entry);
+      }
+      cell.startEntry(entry);
+    }
+  }
+
   private void judgeSafety() {
     for (String entry : cell.entryNames()) {
       callers.refreshJobs(entry);
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/FakeCell.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/FakeCell.java
@@ -159,9 +159,9 @@
     return cutByDrains;
   }
 
-  /** Tells whether a draining entry instance has finished. */
-  public boolean isDrained(String entry) {
-    return entries.get(entry).isDrained();
+  /** Tells whether an entry instance was told to leave and has not finished. */
+  public boolean isDraining(String entry) {
+    return entries.get(entry).isAlive() && entries.get(entry).isDraining();
   }
 
   /** Moves the clock on. */
@@ -209,8 +209,12 @@
 
   /** Tells an entry instance to leave. */
   public void drainEntry(String name) {
-    deliver(entries.get(name), new Event.DrainRequested());
-    relist(name, LiveInstance.State.LEAVING);
+    FakeEntry entry = entries.get(name);
+    if (entry.isAlive()) {
+      entry.drain();
+      deliver(entry, new Event.DrainRequested());
+      relist(name, LiveInstance.State.LEAVING);
+    }
   }
 
   /** Lists a worker as leaving. */
@@ -242,7 +246,7 @@
   public void call(String entry, CallFactory call, Consumer<Answer> answer) {
     FakeEntry target = entries.get(entry);
     if (!target.isAlive()) {
-      answer.accept(new Answer.Refused(Answer.RefusalKind.UNAVAILABLE, List.of()));
+      answer.accept(new Answer.Refused(Answer.RefusalKind.UNKNOWN_OUTCOME, List.of()));
       return;
     }
     lastHandle++;
@@ -319,7 +323,6 @@
     } else if (effect instanceof Effect.Note note) {
       note(entry, note);
     } else if (effect instanceof Effect.Drained) {
-      entry.drain();
       cutByDrains += callers.getOrDefault(entry.name(), Map.of()).size();
       killEntry(entry.name());
     }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/FakeEntry.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/FakeEntry.java
@@ -24,7 +24,7 @@
   private int starts;
   private boolean alive;
   private boolean frozen;
-  private boolean drained;
+  private boolean draining;
 
   FakeEntry(String name, String domain) {
     this.name = name;
@@ -39,7 +39,7 @@
     held.clear();
     alive = true;
     frozen = false;
-    drained = false;
+    draining = false;
   }
 
   String name() {
@@ -99,11 +99,11 @@
     offsets.put(stream, offset);
   }
 
-  boolean isDrained() {
-    return drained;
+  boolean isDraining() {
+    return draining;
   }
 
   void drain() {
-    drained = true;
+    draining = true;
   }
 }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/standin/WorkerModel.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/standin/WorkerModel.java
@@ -79,7 +79,7 @@
     boots++;
     bootId = name + "-boot-" + boots;
     runs.values().forEach(run -> run.endIfRunning(now, TaskResult.LAPSED));
-    lostHistory.addAll(history());
+    runs.values().stream().filter(run -> !run.fenced).map(Run::record).forEach(lostHistory::add);
     runs.clear();
     inUse = Resources.NONE;
     running = 0;
