--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/FuzzRun.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/FuzzRun.java
@@ -11,11 +11,13 @@
 import org.hyssopport.policy.Team;
 import org.hyssopport.policy.WorkClass;
 import org.hyssopport.testkit.cell.FakeCell.CellShape;
+import org.hyssopport.testkit.oracle.History;
 
 /** A fake cell under stateful fuzzing: what the steps act on. */
 final class FuzzRun {
 
   static final Duration RECOVERY = Duration.ofSeconds(150);
+  static final Duration LEAVING_BOUND = Duration.ofSeconds(5);
 
   private final FakeCell cell;
   private final CellCallers callers;
@@ -95,6 +97,12 @@
         });
   }
 
+  /** Lists a worker as leaving; it must get nothing new after the bound. */
+  void leave(String worker) {
+    cell.leaveWorker(worker);
+    cell.history().add(new History.Departure(worker, cell.now().plus(LEAVING_BOUND)));
+  }
+
   List<String> finish() {
     return CellVerdict.reach(cell, callers, RECOVERY);
   }
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/ScenarioAction.java
@@ -0,0 +1,301 @@
+package org.hyssopport.testkit.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.Answer;
+import org.hyssopport.engine.Event;
+import org.hyssopport.engine.TimelineKind;
+import org.hyssopport.testkit.cell.CellCallers.Submission;
+import org.hyssopport.testkit.cell.Scenario.Step;
+import org.hyssopport.testkit.oracle.Told.Verdict;
+
+/** The words of the scenario language. */
+enum ScenarioAction {
+  WAIT {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().advance(Duration.ofMillis(step.millis()));
+    }
+  },
+  REQUEST {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      for (int number = 0; number < step.count(); number++) {
+        Duration patience = Duration.ofMillis(step.patience());
+        run.callers().request(step.receiver(number), "check", step.millis(), patience);
+      }
+    }
+  },
+  /** Sends requests evenly over a length of time, given as patience. */
+  REQUEST_STREAM {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      for (int number = 0; number < step.count(); number++) {
+        Duration patience = Duration.ofMillis(step.patience());
+        run.callers().request(step.receiver(number), "check", step.millis(), patience);
+        run.cell().advance(Duration.ofMillis(20));
+      }
+    }
+  },
+  TICKET {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      for (int number = 0; number < step.count(); number++) {
+        run.callers().bookByTicket(step.on(), step.to(), "deposit", step.millis());
+      }
+    }
+  },
+  KEY {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      for (int number = 0; number < step.count(); number++) {
+        run.callers().bookByKey(step.to(), "deposit", step.millis());
+      }
+    }
+  },
+  BATCH {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      for (int number = 0; number < step.count(); number++) {
+        run.callers().submit(step.receiver(number), "plan", 2, step.millis(), false);
+      }
+    }
+  },
+  FAILING_BATCH {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.callers().submit(step.receiver(0), "plan", 1, step.millis(), true);
+    }
+  },
+  GANG {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.callers().submit(step.receiver(0), "joint", step.count(), step.millis(), false);
+    }
+  },
+  CANCEL {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.callers().cancel(step.receiver(0), step.count());
+    }
+  },
+  KILL {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().killEntry(step.on());
+    }
+  },
+  RESTART {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().startEntry(step.on());
+    }
+  },
+  FREEZE {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().freezeEntry(step.on());
+    }
+  },
+  THAW {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().thawEntry(step.on());
+    }
+  },
+  DRAIN {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().drainEntry(step.on());
+    }
+  },
+  LEAVE_WORKER {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.leave(step.on());
+    }
+  },
+  /** Makes a worker tell itself that it is leaving, while the list does not. */
+  WORKER_SAYS_LEAVING {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().worker(step.on()).setLeaving(true);
+      run.noteDeparture(step.on());
+    }
+  },
+  CUT {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().cut(step.to().get(0), step.to().get(1));
+    }
+  },
+  CUT_FROM_PLATFORM {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().cutFromPlatform(step.on());
+    }
+  },
+  WORKER_DOWN {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().setWorkerDown(step.on(), true);
+    }
+  },
+  REBOOT {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().worker(step.on()).reboot(run.cell().now());
+    }
+  },
+  FAILS_EVERYTHING {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().worker(step.on()).setFailsEverything(true);
+    }
+  },
+  LOSE_ANSWERS {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().loseAnswers(step.on(), step.count());
+    }
+  },
+  NOISE {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().setShares(0.2, 0.2, 0.05);
+    }
+  },
+  LOG_DOWN {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().setLogDown(true);
+    }
+  },
+  LOG_LOSES_ANSWERS {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().setLogLosesAnswers(true);
+    }
+  },
+  LOG_SLOW {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().setLogDelay(Duration.ofMillis(step.millis()));
+    }
+  },
+  LIST_DOWN {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().setListDown(true);
+    }
+  },
+  CLOCK {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().worker(step.on()).setClockOffset(Duration.ofMillis(step.millis()));
+    }
+  },
+  PUBLISH {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.publish(step.receiver(0));
+    }
+  },
+  RACE {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.race(step.receiver(0), step.receiver(1));
+    }
+  },
+  HEAL {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().faults().heal();
+    }
+  },
+  /** From here on, expectations speak of what is sent after this step. */
+  MARK {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.mark();
+    }
+  },
+  /** Everything sent since the mark was told the verdict. */
+  EXPECT_ALL {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      List<Optional<Verdict>> told = run.sinceMark().stream().map(Submission::verdict).toList();
+      Optional<Verdict> expected = Optional.of(Verdict.valueOf(step.verdict()));
+      assertTrue(!told.isEmpty() && told.stream().allMatch(expected::equals), told::toString);
+    }
+  },
+  /** At least so many of what was sent since the mark were told the verdict. */
+  EXPECT_AT_LEAST {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      Optional<Verdict> expected = Optional.of(Verdict.valueOf(step.verdict()));
+      long count = run.sinceMark().stream().filter(each -> each.verdict().equals(expected)).count();
+      assertTrue(count >= step.count(), () -> "only " + count + " " + step.verdict());
+    }
+  },
+  EXPECT_JOBS_ENDED {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.callers().refreshJobs(step.receiver(0));
+      run.cell().advance(Duration.ofMillis(200));
+      assertEquals(List.of(), run.callers().unfinishedJobs());
+    }
+  },
+  /** All instances named have the same newest configuration. */
+  EXPECT_IN_FORCE {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      List<Long> versions = new ArrayList<>();
+      for (String entry : step.to()) {
+        run.cell()
+            .call(
+                entry,
+                Event.ConfigurationQueried::new,
+                answer ->
+                    versions.add(
+                        answer instanceof Answer.ConfigurationAnswer known
+                            ? known.version()
+                            : Long.MIN_VALUE));
+      }
+      assertEquals(step.to().size(), versions.size());
+      assertTrue(
+          versions.stream().allMatch(version -> version == run.newestVersion()),
+          () -> versions + " should all be " + run.newestVersion());
+    }
+  },
+  /** Each worker of a domain is held by one of its live instances. */
+  EXPECT_HELD {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      for (String worker : run.cell().workerNames()) {
+        if (worker.startsWith(step.on())) {
+          String holder =
+              run.cell().worker(worker).holder(run.cell().now()).map(Object::toString).orElse("");
+          assertTrue(
+              step.to().stream().anyMatch(entry -> holder.startsWith(entry + "@")),
+              () -> worker + " is held by " + holder);
+        }
+      }
+    }
+  },
+  /** Something was noted on the time line at least so often. */
+  EXPECT_NOTED {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      int noted = run.cell().count(TimelineKind.valueOf(step.verdict()));
+      assertTrue(noted >= step.count(), () -> step.verdict() + " noted " + noted + " times");
+    }
+  };
+
+  abstract void apply(ScenarioRun run, Step step);
+}
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/ScenarioRun.java
@@ -0,0 +1,69 @@
+package org.hyssopport.testkit.cell;
+
+import java.time.Duration;
+import java.util.List;
+import org.hyssopport.engine.Answer;
+import org.hyssopport.testkit.cell.CellCallers.Submission;
+import org.hyssopport.testkit.oracle.History;
+
+/** A fake cell on which a scenario is played. */
+final class ScenarioRun {
+
+  private static final long SEED = 11;
+
+  private final FuzzRun run = FuzzRun.create(SEED);
+  private int mark;
+  private long newestVersion;
+  private int publications;
+
+  FakeCell cell() {
+    return run.cell();
+  }
+
+  CellCallers callers() {
+    return run.callers();
+  }
+
+  void mark() {
+    mark = callers().submissions().size();
+  }
+
+  List<Submission> sinceMark() {
+    List<Submission> all = callers().submissions();
+    return all.subList(mark, all.size());
+  }
+
+  void leave(String worker) {
+    run.leave(worker);
+  }
+
+  void noteDeparture(String worker) {
+    cell().history().add(new History.Departure(worker, cell().now().plus(FuzzRun.LEAVING_BOUND)));
+  }
+
+  long newestVersion() {
+    return newestVersion;
+  }
+
+  void publish(String entry) {
+    publications++;
+    callers().publish(entry, newestVersion, FuzzRun.configuration(publications), this::noteVersion);
+  }
+
+  void race(String first, String second) {
+    long base = newestVersion;
+    publications += 2;
+    callers().publish(first, base, FuzzRun.configuration(publications), this::noteVersion);
+    callers().publish(second, base, FuzzRun.configuration(publications + 1), this::noteVersion);
+  }
+
+  private void noteVersion(Answer answer) {
+    if (answer instanceof Answer.ConfigurationAnswer accepted) {
+      newestVersion = Math.max(newestVersion, accepted.version());
+    }
+  }
+
+  List<String> finish() {
+    return CellVerdict.reach(cell(), callers(), Duration.ofMinutes(2));
+  }
+}
