The tasks of a gang start within one reservation's length

Ruled out: the fold (an attempt ends only when all of its tasks are closed). Change: a gang's not-after deadline is its reservation's deadline (2 s); the oracle checks that the done runs of a gang overlap.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/GangScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/GangScheduler.java
@@ -25,7 +25,8 @@
  *
  * <p>One member drives a gang at a time. It asks the holders one after the other in the order of
  * their names, which is the same for every gang. If the room does not suffice, everything is given
- * back and the gang waits a growing while. Reservations lapse by themselves.
+ * back and the gang waits a growing while. Reservations lapse by themselves, and no task of the
+ * gang starts after that, so that all its tasks start within one reservation's length.
  */
 final class GangScheduler {
 
@@ -161,7 +162,6 @@
   /** Holds room on the workers here for as many of the asked tasks as fit. */
   private List<Placement> reserve(ReserveTasks ask) {
     List<Placement> placements = new ArrayList<>();
-    Instant notAfter = ask.deadline().plus(context.settings().startWindow());
     Instant horizon = context.now().plus(context.settings().horizonLength());
     while (placements.size() < ask.count()) {
       Optional<HeldWorker> chosen = pool.chooseForTask(ask.resources(), worker -> true);
@@ -173,7 +173,12 @@
       pool.allocate(worker, hold, Allocation.reserved(ask.resources(), ask.deadline()));
       placements.add(
           new Placement(
-              worker.id(), worker.bootId(), context.self(), worker.token(), notAfter, horizon));
+              worker.id(),
+              worker.bootId(),
+              context.self(),
+              worker.token(),
+              ask.deadline(),
+              horizon));
     }
     return placements;
   }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Oracle.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Oracle.java
@@ -33,6 +33,7 @@
     oracle.checkCapacity();
     oracle.checkOnePlace();
     oracle.checkTold();
+    oracle.checkTogether();
     oracle.checkAtMostOnce();
     oracle.checkDepartures();
     oracle.checkVersions();
@@ -129,6 +130,37 @@
     }
   }
 
+  private void checkTogether() {
+    for (Told told : history.told()) {
+      boolean ran = history.runs().stream().anyMatch(run -> isDoneRunOf(run, told));
+      if (told.sort() == Sort.JOINT_JOB && told.verdict() == Verdict.DONE && ran) {
+        checkTogether(told.work());
+      }
+    }
+  }
+
+  private static boolean isDoneRunOf(Run run, Told told) {
+    return run.done() && run.work().equals(told.work());
+  }
+
+  private void checkTogether(String work) {
+    Map<String, Run> lastDone = new HashMap<>();
+    for (Run run : history.runs()) {
+      if (run.work().equals(work) && run.done()) {
+        lastDone.merge(
+            run.task(), run, (one, other) -> one.start().isAfter(other.start()) ? one : other);
+      }
+    }
+    Instant latestStart =
+        lastDone.values().stream().map(Run::start).max(Comparator.naturalOrder()).orElseThrow();
+    Instant earliestEnd =
+        lastDone.values().stream().map(Run::end).min(Comparator.naturalOrder()).orElseThrow();
+    if (!latestStart.isBefore(earliestEnd)) {
+      violations.add(
+          work + " was told done, but its tasks never ran all together: " + lastDone.values());
+    }
+  }
+
   private void checkAtMostOnce() {
     Map<String, Long> runsByWork =
         history.runs().stream().collect(Collectors.groupingBy(Run::work, Collectors.counting()));
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Told.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/oracle/Told.java
@@ -22,7 +22,9 @@
     /** It runs once at most, however often it is sent. */
     AT_MOST_ONCE,
     /** Each of its tasks runs in one place at a time. */
-    JOB
+    JOB,
+    /** A job whose tasks also run all together. */
+    JOINT_JOB
   }
 
   /** The outcomes. */
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/ScenarioAction.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/ScenarioAction.java
@@ -273,6 +273,13 @@
           () -> versions + " should all be " + run.newestVersion());
     }
   },
+  /** Exactly so many publications were accepted, the first configuration included. */
+  EXPECT_PUBLICATIONS {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      assertEquals(step.count(), run.callers().publicationsAccepted());
+    }
+  },
   /** Each worker of a domain is held by one of its live instances. */
   EXPECT_HELD {
     @Override
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/oracle/OracleTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/oracle/OracleTests.java
@@ -115,6 +115,14 @@
         history.add(run("w1", "r8", "y", 101, 102, true));
       }
     },
+    GANG_NOT_TOGETHER("all together") {
+      @Override
+      void breakIt(History history) {
+        history.add(run("w2", "g/0", "e", 40, 45, true));
+        history.add(run("w3", "g/1", "e", 46, 50, true));
+        history.add(told("e", Sort.JOINT_JOB, Verdict.DONE, "right"));
+      }
+    },
     REVERTED("back to") {
       @Override
       void breakIt(History history) {
