An ejected worker comes back by itself

An ejected worker took one probe at a time, so a gang that needs two tasks on it could never be placed, and with no other work nothing ever proved the worker sound. Ruled out: quota, reservations left behind, the leaving worker. Change: an ejection expires ten seconds after its probing begins.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/HeldWorker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/HeldWorker.java
@@ -130,7 +130,7 @@
         && !isLeaving()
         && !clockSuspect
         && now.isBefore(leaseDeadline.minus(settings.clockBound()))
-        && (!health.isEjected() || (health.mayProbe(now) && ledger.isEmpty()));
+        && health.mayGetWork(now, ledger.isEmpty());
   }
 
   void ask(Instant now) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/WorkerHealth.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/WorkerHealth.java
@@ -11,7 +11,8 @@
   private static final int FEWEST_OBSERVATIONS = 4;
   private static final double EJECTING_SHARE = 0.5;
   private static final Duration FIRST_EJECTION = Duration.ofSeconds(5);
-  private static final int MOST_DOUBLINGS = 4;
+  private static final Duration PROBE_WINDOW = Duration.ofSeconds(10);
+  private static final int MOST_DOUBLINGS = 3;
 
   private double failureShare;
   private int observations;
@@ -61,14 +62,23 @@
     return ejectedUntil.isPresent();
   }
 
-  /** Tells whether one probe may be sent to an ejected worker. */
-  boolean mayProbe(Instant now) {
-    return ejectedUntil.map(until -> !now.isBefore(until)).orElse(false);
+  /**
+   * Tells whether the worker may get work.
+   *
+   * @param idle whether nothing runs on it, so that one probe may be sent after the ejection
+   */
+  boolean mayGetWork(Instant now, boolean idle) {
+    if (ejectedUntil.isEmpty()) {
+      return true;
+    }
+    boolean probing = idle && !now.isBefore(ejectedUntil.get());
+    boolean expired = !now.isBefore(ejectedUntil.get().plus(PROBE_WINDOW));
+    return probing || expired;
   }
 
   /** Keeps the worker ejected for longer, after a probe failed. */
   void extendAfterProbe(Instant now) {
-    if (mayProbe(now)) {
+    if (ejectedUntil.map(until -> !now.isBefore(until)).orElse(false)) {
       eject(now);
     }
   }
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/ScenarioAction.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/ScenarioAction.java
@@ -158,6 +158,12 @@
       run.cell().worker(step.on()).setFailsEverything(true);
     }
   },
+  SOUND_AGAIN {
+    @Override
+    void apply(ScenarioRun run, Step step) {
+      run.cell().worker(step.on()).setFailsEverything(false);
+    }
+  },
   LOSE_ANSWERS {
     @Override
     void apply(ScenarioRun run, Step step) {
