--- a/hyssopport-console/src/main/java/org/hyssopport/console/Environment.java
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/Environment.java
@@ -33,7 +33,11 @@
   }
 
   private Optional<String> value(String flag) {
-    String name = flag.substring(2).replace('-', '_').toUpperCase(Locale.ROOT);
-    return Optional.ofNullable(variables.get(PREFIX + name));
+    return Optional.ofNullable(variables.get(nameOf(flag)));
+  }
+
+  /** Returns the name of a flag's variable. */
+  static String nameOf(String flag) {
+    return PREFIX + flag.substring(2).replace('-', '_').toUpperCase(Locale.ROOT);
   }
 }
--- a/hyssopport-console/src/main/java/org/hyssopport/console/ServeCommand.java
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/ServeCommand.java
@@ -21,6 +21,16 @@
 
   static final String NAME = "serve";
 
+  private static final List<String> REQUIRED =
+      List.of(
+          "--name",
+          "--failure-domain",
+          "--failure-domains",
+          "--listen",
+          "--peer-listen",
+          "--log",
+          "--live-list");
+
   private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
   private ServeCommand() {}
@@ -44,7 +54,7 @@
 
   private static void required(
       Subparser parser, Environment environment, String flag, String help) {
-    environment.required(parser.addArgument(flag).help(help), flag);
+    environment.optional(parser.addArgument(flag).help(help + " (required)"), flag, "");
   }
 
   private static void optional(
@@ -54,8 +64,11 @@
 
   static ExitCode run(Namespace flags, PrintStream err) {
     List<Finding> findings = new ArrayList<>();
+    checkPresent(flags, findings);
     ServeSettings settings = settingsOf(flags, findings);
-    findings.addAll(settings.check());
+    if (findings.stream().noneMatch(each -> REQUIRED.contains(each.place()))) {
+      findings.addAll(settings.check());
+    }
     if (!findings.isEmpty()) {
       findings.forEach(err::println);
       return ExitCode.USAGE;
@@ -75,6 +88,14 @@
     }
   }
 
+  private static void checkPresent(Namespace flags, List<Finding> findings) {
+    for (String flag : REQUIRED) {
+      if (flags.getString(flag.substring(2).replace('-', '_')).isBlank()) {
+        findings.add(new Finding(flag, "is missing, and so is " + Environment.nameOf(flag)));
+      }
+    }
+  }
+
   private static ServeSettings settingsOf(Namespace flags, List<Finding> findings) {
     EngineSettings engine =
         EngineSettings.standard()
--- /dev/null
+++ b/hyssopport-console/src/test/java/org/hyssopport/console/HyssopportTests.java
@@ -0,0 +1,137 @@
+package org.hyssopport.console;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The command line tells faults with their place and ends with the documented codes. */
+class HyssopportTests {
+
+  private static final String SERVE =
+      "serve --name n1 --failure-domain north --failure-domains north --listen 127.0.0.1:1"
+          + " --peer-listen 127.0.0.1:2 --log 127.0.0.1:3 --live-list 127.0.0.1:4";
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+  @Nested
+  class WhenFlagsAreWrong {
+
+    @ParameterizedTest
+    @CsvSource({
+      "--nonsense, --nonsense",
+      "--name Bad_Name, --name",
+      "--listen nowhere, --listen",
+      "--listen 127.0.0.1:2, --peer-listen",
+      "--failure-domains south, --failure-domains",
+      "--appends-per-second many, --appends-per-second",
+      "--appends-per-second 0, --appends-per-second",
+      "--horizon 20, --horizon",
+      "--horizon PT1S, --horizon",
+      "--retention PT10S, --retention",
+      "--drain-limit PT2H, --drain-limit",
+      "--fault-switch perhaps, --fault-switch"
+    })
+    void faultNamesTheFlag(String flags, String place) {
+      ExitCode code = run(SERVE + " " + flags, Map.of());
+      assertEquals(ExitCode.USAGE, code);
+      assertTrue(errors().contains(place), errors());
+      assertFalse(errors().contains("\tat "), "no stack trace for a person");
+    }
+
+    @Test
+    void allFaultsAreToldTogether() {
+      run(SERVE + " --horizon soon --drain-limit later --log nowhere", Map.of());
+      assertTrue(
+          errors().contains("--horizon")
+              && errors().contains("--drain-limit")
+              && errors().contains("--log"),
+          errors());
+    }
+
+    @Test
+    void everyMissingFlagIsNamedTogetherWithItsVariable() {
+      assertEquals(ExitCode.USAGE, run("serve --name n1", Map.of()));
+      assertTrue(
+          errors().contains("--failure-domain")
+              && errors().contains("--live-list")
+              && errors().contains("HYSSOPPORT_LIVE_LIST"),
+          errors());
+    }
+  }
+
+  @Nested
+  class WhenVariablesAreSet {
+
+    @Test
+    void flagsComeFromVariables() {
+      Map<String, String> variables = Map.of("HYSSOPPORT_ENTRY", "127.0.0.1:1");
+      assertEquals(ExitCode.UNREACHABLE, run("status", variables));
+    }
+
+    @Test
+    void wrongVariableIsNamedLikeItsFlag() {
+      assertEquals(ExitCode.USAGE, run(SERVE, Map.of("HYSSOPPORT_HORIZON", "soon")));
+      assertTrue(errors().contains("--horizon"), errors());
+    }
+  }
+
+  @Nested
+  class WhenConfigurationIsChecked {
+
+    @Test
+    void everyFindingHasItsPlace(@TempDir Path folder) throws IOException {
+      Path file = folder.resolve("configuration.json");
+      Files.writeString(
+          file,
+          "{\"formatVersion\":1,\"name\":\"a\",\"teams\":[{\"name\":\"T\"}],"
+              + "\"classes\":[{\"name\":\"c\",\"kind\":\"BATCH\",\"team\":\"u\"}]}");
+      assertEquals(ExitCode.REFUSED, run("configuration check " + file, Map.of()));
+      assertTrue(
+          errors().contains("teams[0].name")
+              && errors().contains("teams[0].quota")
+              && errors().contains("classes[0].team"),
+          errors());
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "--help",
+    "serve --help",
+    "configuration publish --help",
+    "submit --help",
+    "job show --help",
+    "job cancel --help",
+    "status --help",
+    "timeline --help"
+  })
+  void helpEndsWell(String line) {
+    assertEquals(ExitCode.OK, run(line, Map.of()));
+  }
+
+  private ExitCode run(String line, Map<String, String> variables) {
+    return Hyssopport.run(
+        line.split(" ", -1),
+        variables,
+        new PrintStream(out, true, StandardCharsets.UTF_8),
+        new PrintStream(err, true, StandardCharsets.UTF_8));
+  }
+
+  private String errors() {
+    return err.toString(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/hyssopport-console/src/test/java/org/hyssopport/console/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the console module. */
+package org.hyssopport.console;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/AttemptKeeper.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/AttemptKeeper.java
@@ -153,7 +153,7 @@
 
   private void startOwn(OpenAttempt each, HeldWorker worker) {
     boolean reserved = worker.ledger().allocation(each.id()).isPresent();
-    if (!reserved || !mayStart(each)) {
+    if (!reserved || !mayStart(each, worker)) {
       pool.release(worker, each.id());
       track(each, Phase.STARTING).close(CloseCause.NOT_RUN, context.now());
       return;
@@ -165,9 +165,9 @@
     start(each, worker);
   }
 
-  private boolean mayStart(OpenAttempt each) {
+  private boolean mayStart(OpenAttempt each, HeldWorker worker) {
     boolean inTime = context.now().isBefore(each.placement().notAfter());
-    return inTime && !each.job().isCancelled() && !each.job().isAborting();
+    return inTime && !worker.isLeaving() && !each.job().isCancelled() && !each.job().isAborting();
   }
 
   private void start(OpenAttempt each, HeldWorker worker) {
@@ -338,7 +338,7 @@
   }
 
   private void startAgain(LocalAttempt attempt, OpenAttempt each, HeldWorker worker) {
-    if (mayStart(each)) {
+    if (mayStart(each, worker)) {
       start(each, worker);
     } else {
       attempt.moveTo(Phase.RESOLVING, context.now());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/BatchScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/BatchScheduler.java
@@ -93,7 +93,8 @@
   }
 
   private void makeRoomIfNeeded() {
-    if (!context.settings().queueing().preempts() || context.now().isBefore(nextPreemption)) {
+    if (!context.settings().policies().queueing().preempts()
+        || context.now().isBefore(nextPreemption)) {
       return;
     }
     boolean crest =
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Dispatcher.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Dispatcher.java
@@ -56,10 +56,14 @@
     this.book = book;
     this.forwarder = forwarder;
     this.ejection = ejection;
-    this.queue = new RequestQueue(context.settings().queueing());
+    this.queue = new RequestQueue(context.settings().policies().queueing());
     this.retryBudget = RetryBudget.of(context.settings().retryShare());
   }
 
+  private Policies policies() {
+    return context.settings().policies();
+  }
+
   int waiting() {
     return queue.size();
   }
@@ -85,17 +89,17 @@
       return;
     }
     request.waitAgain(context.now());
-    queue.add(context.settings().queueing().laneOf(estimate(request)), request);
+    queue.add(policies().queueing().laneOf(estimate(request)), request);
   }
 
   /** Starts a request at once on an own worker, or returns false and keeps nothing of it. */
   boolean startNow(Request request) {
     return !overtaken(request)
-        && sendToOwnWorker(request, context.settings().queueing().laneOf(estimate(request)));
+        && sendToOwnWorker(request, policies().queueing().laneOf(estimate(request)));
   }
 
   private boolean overtaken(Request request) {
-    Lane lane = context.settings().queueing().laneOf(estimate(request));
+    Lane lane = policies().queueing().laneOf(estimate(request));
     return queue.size(lane) > 0;
   }
 
@@ -355,7 +359,7 @@
   private boolean mayRetry(Request request) {
     return request.mayBeForwarded()
         && context.now().isBefore(request.deadline())
-        && retryBudget.tryRetry();
+        && (retryBudget.tryRetry() || !policies().failureHandling().limitsRetries());
   }
 
   private void retry(Request request, String why) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/EngineSettings.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/EngineSettings.java
@@ -22,8 +22,7 @@
  * @param reservedSlots slots of each worker that only short work may use
  * @param retryShare retries allowed for each first attempt
  * @param streams the number of work streams, the same for the whole cell and for ever
- * @param packing how workers are chosen
- * @param queueing how waiting requests are ordered
+ * @param policies the policies in force
  * @since 0.1
  */
 public record EngineSettings(
@@ -44,8 +43,7 @@
     int reservedSlots,
     double retryShare,
     int streams,
-    Packing packing,
-    Queueing queueing) {
+    Policies policies) {
 
   /** Returns the settings that hold unless others are stated. */
   public static EngineSettings standard() {
@@ -67,12 +65,11 @@
         2,
         0.1,
         6,
-        Packing.BEST_FIT,
-        Queueing.SPLIT);
+        Policies.standard());
   }
 
-  /** Returns these settings with another packing and queueing, for comparisons. */
-  public EngineSettings choosing(Packing newPacking, Queueing newQueueing) {
+  /** Returns these settings with other policies, for comparisons. */
+  public EngineSettings following(Policies newPolicies) {
     return new EngineSettings(
         leaseLength,
         renewalInterval,
@@ -88,11 +85,10 @@
         ticketLength,
         retention,
         maximumWaiting,
-        newQueueing == Queueing.SHARED ? 0 : reservedSlots,
+        reservedSlots,
         retryShare,
         streams,
-        newPacking,
-        newQueueing);
+        newPolicies);
   }
 
   /** Returns these settings with another horizon, adoption delay and retention. */
@@ -115,7 +111,6 @@
         reservedSlots,
         retryShare,
         streams,
-        packing,
-        queueing);
+        policies);
   }
 }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Forwarder.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Forwarder.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -37,6 +36,7 @@
   private final Map<AttemptId, Outstanding> outstanding = new LinkedHashMap<>();
   private final Map<AttemptId, Received> received = new LinkedHashMap<>();
   private final Map<AttemptId, RemoteQuery> remoteQueries = new HashMap<>();
+  private long turn;
   private Instant nextCheck = Instant.EPOCH;
 
   Forwarder(EngineContext context, Membership membership, RequestBook book) {
@@ -56,18 +56,16 @@
   }
 
   private Optional<Peer> choose(Request request, Lane lane) {
-    Comparator<Peer> byFreeSlots = Comparator.comparingInt(peer -> peer.freeSlots(lane));
     List<Peer> usable =
         membership.peers().stream()
             .filter(peer -> peer.isHeard(context.now(), context.settings()))
-            .filter(peer -> !peer.isDraining() && peer.freeSlots(lane) > 0)
-            .filter(peer -> !request.avoids(peer.name()))
+            .filter(peer -> !peer.isDraining() && !request.avoids(peer.name()))
             .toList();
-    Optional<Peer> near =
-        usable.stream()
-            .filter(peer -> peer.domain().equals(context.failureDomain()))
-            .max(byFreeSlots);
-    return near.or(() -> usable.stream().max(byFreeSlots));
+    List<Peer> near =
+        usable.stream().filter(peer -> peer.domain().equals(context.failureDomain())).toList();
+    turn++;
+    Forwarding forwarding = context.settings().policies().forwarding();
+    return forwarding.choose(near, lane, turn).or(() -> forwarding.choose(usable, lane, turn));
   }
 
   private void send(Request request, Peer peer) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Lane.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Lane.java
@@ -13,7 +13,7 @@
   LONG {
     @Override
     int slotsKeptFree(EngineSettings settings) {
-      return settings.reservedSlots();
+      return settings.policies().queueing().reservesSlots() ? settings.reservedSlots() : 0;
     }
   };
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/OutlierEjection.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/OutlierEjection.java
@@ -47,7 +47,8 @@
             .filter(other -> other.state() == LeaseState.ACTIVE)
             .filter(other -> other.health().isEjected())
             .count();
-    if (shares.isEmpty() || (ejected + 1) * 2 > shares.size()) {
+    boolean off = !context.settings().policies().failureHandling().ejects();
+    if (off || shares.isEmpty() || (ejected + 1) * 2 > shares.size()) {
       return;
     }
     double median = shares.get((shares.size() - 1) / 2);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Queueing.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Queueing.java
@@ -20,6 +20,11 @@
       return Lane.SHORT;
     }
 
+    @Override
+    boolean reservesSlots() {
+      return false;
+    }
+
     @Override
     boolean preempts() {
       return false;
@@ -33,6 +38,10 @@
 
   abstract Lane laneOf(RunTimeEstimate estimate);
 
+  boolean reservesSlots() {
+    return true;
+  }
+
   boolean preempts() {
     return true;
   }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/WorkerPool.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/WorkerPool.java
@@ -411,6 +411,7 @@
   Optional<HeldWorker> chooseForTask(Resources resources, Predicate<HeldWorker> allowed) {
     return context
         .settings()
+        .policies()
         .packing()
         .choose(
             index,
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the engine module. */
+package org.hyssopport.engine;
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/work/WorkFoldTests.java
@@ -0,0 +1,184 @@
+package org.hyssopport.engine.work;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.platform.EntryId;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.StoredRecord;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.work.StreamRecord.Checkpoint;
+import org.hyssopport.engine.work.StreamRecord.HorizonExtended;
+import org.hyssopport.engine.work.StreamRecord.JobAccepted;
+import org.hyssopport.engine.work.StreamRecord.KeyClaimed;
+import org.hyssopport.engine.work.StreamRecord.StreamOwned;
+import org.hyssopport.engine.work.StreamRecord.TaskClaim;
+import org.hyssopport.engine.work.StreamRecord.TaskClosed;
+import org.hyssopport.engine.work.StreamRecord.TasksClaimed;
+import org.hyssopport.policy.Resources;
+import org.hyssopport.policy.WorkKind;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** The log's order decides, and every reader reaches the same state. */
+class WorkFoldTests {
+
+  private static final Instant START = Instant.ofEpochSecond(1000);
+  private static final Instant HORIZON = START.plusSeconds(60);
+
+  private final WorkFold fold = WorkFold.empty();
+  private long nextOffset;
+
+  @Nested
+  class WhenJobIsAccepted {
+
+    @Test
+    void firstClaimOpensTheAttemptAndTheSecondIsInvalid() {
+      acceptJob(WorkKind.BATCH, 1);
+      assertTrue(apply(claim(1, 1)));
+      assertFalse(apply(claim(1, 1)));
+      assertFalse(apply(claim(1, 2)));
+    }
+
+    @Test
+    void nextAttemptIsValidOnlyAfterTheOpenOneWasClosed() {
+      acceptJob(WorkKind.BATCH, 1);
+      apply(claim(1, 1));
+      assertTrue(apply(TaskClosed.proved("job", 0, 1, CloseCause.LOST)));
+      assertTrue(apply(claim(1, 2)));
+      assertFalse(apply(TaskClosed.proved("job", 0, 1, CloseCause.DONE)));
+    }
+
+    @Test
+    void claimOfAnOldOwnerIsInvalid() {
+      acceptJob(WorkKind.BATCH, 1);
+      assertTrue(apply(new StreamOwned(2, new FailureDomain("south"))));
+      assertFalse(apply(claim(1, 1)));
+      assertTrue(apply(claim(2, 1)));
+    }
+
+    @Test
+    void lapsedCloseIsInvalidOnceTheHorizonWasExtended() {
+      acceptJob(WorkKind.BATCH, 1);
+      apply(claim(1, 1));
+      assertTrue(apply(new HorizonExtended("job", 0, 1, 1, HORIZON.plusSeconds(60))));
+      assertFalse(apply(TaskClosed.lapsed("job", 0, 1, HORIZON)));
+      assertTrue(apply(TaskClosed.lapsed("job", 0, 1, HORIZON.plusSeconds(60))));
+    }
+
+    @Test
+    void gangIsClaimedWholeOrNotAtAll() {
+      acceptJob(WorkKind.GANG, 2);
+      assertFalse(apply(claim(1, 1)));
+      assertTrue(
+          apply(
+              new TasksClaimed(
+                  "job",
+                  1,
+                  List.of(new TaskClaim(0, 1, placement()), new TaskClaim(1, 1, placement())))));
+      assertTrue(apply(TaskClosed.proved("job", 0, 1, CloseCause.LOST)));
+      assertTrue(fold.job("job").orElseThrow().isAborting());
+    }
+
+    @Test
+    void jobIsForgottenByTheLogsOwnClock() {
+      acceptJob(WorkKind.BATCH, 1);
+      apply(claim(1, 1));
+      apply(TaskClosed.proved("job", 0, 1, CloseCause.DONE));
+      StreamRecord later = new StreamOwned(2, new FailureDomain("south"));
+      fold.apply(stored(later, START.plusSeconds(3 * 3600)), later);
+      assertTrue(fold.job("job").isEmpty());
+    }
+  }
+
+  @Nested
+  class WhenKeyIsClaimed {
+
+    @Test
+    void secondClaimIsInvalidWhateverBecameOfTheFirst() {
+      KeyClaimed claim = new KeyClaimed("key", holder(), START.plusSeconds(100));
+      assertTrue(apply(claim));
+      assertTrue(apply(new StreamRecord.KeyClosed("key", CloseCause.NOT_RUN, Optional.empty())));
+      assertFalse(apply(claim));
+    }
+
+    @Test
+    void claimAfterItsExpiryIsInvalid() {
+      assertFalse(apply(new KeyClaimed("key", holder(), START.minusSeconds(1))));
+    }
+  }
+
+  @Nested
+  class WhenReaderStartsLate {
+
+    @Test
+    void itReachesTheSameStateFromItsCheckpoint() {
+      List<StoredRecord> records = new ArrayList<>();
+      StreamFollower<WorkFold> early = StreamFollower.of(WorkFold.empty());
+      append(records, new StreamOwned(1, new FailureDomain("north")));
+      append(records, new JobAccepted(spec(WorkKind.BATCH, 1)));
+      early.take(0, records);
+      append(records, claim(1, 1));
+      append(records, new Checkpoint(1, early.fold().snapshot()));
+      append(records, TaskClosed.proved("job", 0, 1, CloseCause.DONE));
+      early.take(0, records);
+
+      StreamFollower<WorkFold> late = StreamFollower.of(WorkFold.empty());
+      late.take(2, records.subList(2, records.size()));
+      assertTrue(late.isEstablished());
+      assertEquals(early.fold().snapshot(), late.fold().snapshot());
+    }
+
+    @Test
+    void itWaitsWhileCheckpointLeavesGap() {
+      List<StoredRecord> records = new ArrayList<>();
+      append(records, new StreamOwned(1, new FailureDomain("north")));
+      append(records, new JobAccepted(spec(WorkKind.BATCH, 1)));
+      append(records, new Checkpoint(0, WorkFold.empty().snapshot()));
+      StreamFollower<WorkFold> late = StreamFollower.of(WorkFold.empty());
+      late.take(2, records.subList(2, 3));
+      assertFalse(late.isEstablished());
+    }
+  }
+
+  private void acceptJob(WorkKind kind, int tasks) {
+    apply(new StreamOwned(1, new FailureDomain("north")));
+    apply(new JobAccepted(spec(kind, tasks)));
+  }
+
+  private boolean apply(StreamRecord record) {
+    return fold.apply(stored(record, START), record);
+  }
+
+  private StoredRecord stored(StreamRecord record, Instant at) {
+    long offset = nextOffset;
+    nextOffset++;
+    return new StoredRecord(offset, "r" + offset, at, RecordCodec.encode(record));
+  }
+
+  private void append(List<StoredRecord> records, StreamRecord record) {
+    records.add(stored(record, START));
+  }
+
+  private static TasksClaimed claim(long epoch, int attempt) {
+    return new TasksClaimed("job", epoch, List.of(new TaskClaim(0, attempt, placement())));
+  }
+
+  private static Placement placement() {
+    return new Placement(new WorkerId("w1"), "boot", holder(), 1, START.plusSeconds(5), HORIZON);
+  }
+
+  private static EntryId holder() {
+    return new EntryId("e1", "i1");
+  }
+
+  private static JobSpec spec(WorkKind kind, int tasks) {
+    return new JobSpec(
+        "job", "plan", kind, "team", Resources.of(1, 1, 0), tasks, "p", HORIZON, START, 3);
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/work/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the log's records and folds. */
+package org.hyssopport.engine.work;
--- /dev/null
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the launcher module. */
+package org.hyssopport.launcher;
--- /dev/null
+++ b/hyssopport-policy/src/test/java/org/hyssopport/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the policy module. */
+package org.hyssopport.policy;
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/PeerCodec.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/PeerCodec.java
@@ -9,6 +9,8 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import org.hyssopport.engine.PeerMessage.Envelope;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
@@ -41,6 +43,7 @@
   /** Returns the message, or what is wrong with the bytes. */
   public static Either<String, Envelope> decode(byte[] payload) {
     try {
+      checkLengths(payload);
       Envelope envelope = MAPPER.readValue(payload, Envelope.class);
       boolean whole =
           envelope != null
@@ -49,7 +52,19 @@
               && envelope.message() != null;
       return whole ? Either.right(envelope) : Either.left("a part of the envelope is missing");
     } catch (IOException | RuntimeException e) {
-      return Either.left("not a message: " + e.getMessage().lines().findFirst().orElse(""));
+      return Either.left("not a message: " + firstLineOf(e));
     }
   }
+
+  /** Walks over the bytes, so that no stated length beyond their end is ever allocated. */
+  private static void checkLengths(byte[] payload) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+      unpacker.skipValue();
+    }
+  }
+
+  private static String firstLineOf(Exception fault) {
+    String message = String.valueOf(fault.getMessage());
+    return message.lines().findFirst().orElse(fault.getClass().getSimpleName());
+  }
 }
--- /dev/null
+++ b/hyssopport-protocol/src/test/java/org/hyssopport/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the protocol module. */
+package org.hyssopport.protocol;
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/bench/Bench.java
@@ -0,0 +1,150 @@
+package org.hyssopport.testkit.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.hyssopport.policy.Json;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.style.Styler;
+
+/**
+ * Runs the measurements and writes a table, a JSON file and plots.
+ *
+ * @since 0.1
+ */
+public final class Bench {
+
+  private static final Path FOLDER = Path.of("target", "bench");
+  private static final int WARM_UP = 60_000;
+  private static final int DECISIONS = 120_000;
+  private static final Duration IDLE = Duration.ofSeconds(60);
+
+  private final List<Row> rows = new ArrayList<>();
+
+  private Bench() {}
+
+  /** Runs the named experiments, or all of them. */
+  public static void main(String[] names) throws IOException {
+    List<String> chosen =
+        names.length > 0
+            ? List.of(names)
+            : List.of(
+                "crest",
+                "head-of-line",
+                "packing",
+                "holders",
+                "failures",
+                "take-over",
+                "speed",
+                "control");
+    Bench bench = new Bench();
+    for (String name : chosen) {
+      bench.run(name);
+    }
+    bench.write();
+  }
+
+  private void run(String name) {
+    PolicyExperiments policies = new PolicyExperiments();
+    switch (name) {
+      case "crest" -> policies.crest();
+      case "head-of-line" -> policies.headOfLine();
+      case "packing" -> policies.packing();
+      case "holders" -> policies.holders();
+      case "failures" -> policies.failures();
+      case "take-over" -> policies.takeOver();
+      case "speed" -> speed();
+      case "control" -> control();
+      default -> throw new IllegalArgumentException("there is no experiment " + name);
+    }
+    rows.addAll(policies.rows());
+  }
+
+  private void add(String experiment, String variant, String measure, double value, String unit) {
+    Row row = new Row(experiment, variant, measure, value, unit);
+    rows.add(row);
+    System.out.println(row);
+  }
+
+  /** The time of one placement decision as the held workers grow. */
+  private void speed() {
+    for (int workers : new int[] {30, 300, 3000}) {
+      EngineBench bench = EngineBench.ready(workers, 2);
+      bench.place(WARM_UP);
+      long before = EngineBench.processorNanos();
+      Histogram nanos = bench.place(DECISIONS);
+      double seconds = (double) (EngineBench.processorNanos() - before) / 1e9;
+      String variant = workers + " workers held by one";
+      add("speed", variant, "p50 decision", nanos.getValueAtPercentile(50) / 1000.0, "µs");
+      add("speed", variant, "p99 decision", nanos.getValueAtPercentile(99) / 1000.0, "µs");
+      add("speed", variant, "whole life, one core", DECISIONS / seconds, "requests/s");
+    }
+  }
+
+  /** What control costs one instance that has nothing else to do. */
+  private void control() {
+    for (int[] size : new int[][] {{4, 8}, {34, 8}, {100, 8}, {300, 8}, {34, 62}, {34, 188}}) {
+      long heapBefore = EngineBench.liveHeap();
+      EngineBench bench = EngineBench.ready(size[0], size[1]);
+      bench.idle(IDLE);
+      long heap = EngineBench.liveHeap() - heapBefore;
+      long bytesBefore = bench.bytes();
+      long callsBefore = bench.workerCalls();
+      long nanosBefore = EngineBench.processorNanos();
+      bench.idle(IDLE);
+      double seconds = (double) IDLE.toSeconds();
+      double core = (EngineBench.processorNanos() - nanosBefore) / seconds / 1e7;
+      String variant = size[0] + " workers, " + size[1] + " peers";
+      add("control", variant, "bytes sent", (bench.bytes() - bytesBefore) / seconds, "B/s");
+      add("control", variant, "calls", (bench.workerCalls() - callsBefore) / seconds, "1/s");
+      add("control", variant, "engine and worker model", core, "% of a core");
+      add("control", variant, "live heap of both", heap / 1024.0, "KiB");
+    }
+  }
+
+  private void write() throws IOException {
+    Files.createDirectories(FOLDER);
+    Files.writeString(
+        FOLDER.resolve("results.json"),
+        Json.mapper().writerWithDefaultPrettyPrinter().writeValueAsString(rows));
+    Map<String, List<Row>> byMeasure = new LinkedHashMap<>();
+    for (Row row : rows) {
+      byMeasure
+          .computeIfAbsent(row.experiment() + " " + row.measure(), key -> new ArrayList<>())
+          .add(row);
+    }
+    for (Map.Entry<String, List<Row>> entry : byMeasure.entrySet()) {
+      plot(entry.getKey(), entry.getValue());
+    }
+    System.out.println("results and plots: " + FOLDER);
+  }
+
+  private static void plot(String title, List<Row> values) throws IOException {
+    CategoryChart chart =
+        new CategoryChartBuilder()
+            .width(760)
+            .height(380)
+            .title(title)
+            .yAxisTitle(values.get(0).unit())
+            .build();
+    chart.getStyler().setLegendVisible(false);
+    chart.getStyler().setLabelsVisible(true);
+    chart.getStyler().setToolTipsEnabled(false);
+    chart.getStyler().setLegendPosition(Styler.LegendPosition.OutsideS);
+    chart.addSeries(
+        title,
+        values.stream().map(Row::variant).toList(),
+        values.stream().map(Row::value).toList());
+    String file = title.replaceAll("[^a-z0-9]+", "-");
+    BitmapEncoder.saveBitmap(
+        chart, FOLDER.resolve(file).toString(), BitmapEncoder.BitmapFormat.PNG);
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/bench/EngineBench.java
@@ -0,0 +1,215 @@
+package org.hyssopport.testkit.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.HdrHistogram.Histogram;
+import org.hyssopport.engine.Effect;
+import org.hyssopport.engine.EngineSettings;
+import org.hyssopport.engine.EntryEngine;
+import org.hyssopport.engine.Event;
+import org.hyssopport.engine.PeerMessage;
+import org.hyssopport.engine.ServiceRequest;
+import org.hyssopport.engine.platform.EntryId;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.LiveInstance;
+import org.hyssopport.engine.platform.LiveList;
+import org.hyssopport.engine.platform.WorkerCall;
+import org.hyssopport.engine.platform.WorkerReply;
+import org.hyssopport.policy.Configuration;
+import org.hyssopport.policy.Json;
+import org.hyssopport.policy.Resources;
+import org.hyssopport.policy.Team;
+import org.hyssopport.policy.WorkClass;
+import org.hyssopport.protocol.PeerLinkSizes;
+import org.hyssopport.testkit.standin.WorkerModel;
+
+/** One engine alone, with workers that answer at once: speed, heap, messages and processor time. */
+final class EngineBench {
+
+  private static final FailureDomain DOMAIN = new FailureDomain("ourthe");
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+  private static final int HTTP_OVERHEAD_BYTES = 350;
+
+  private final EntryEngine engine;
+  private final List<WorkerModel> workers = new ArrayList<>();
+  private final List<LiveInstance> instances = new ArrayList<>();
+  private final int peers;
+  private final Deque<Event> replies = new ArrayDeque<>();
+  private Instant now = START;
+  private long workerCalls;
+  private long bytes;
+  private long lastHandle;
+
+  private EngineBench(int workerCount, int peers) {
+    this.peers = peers;
+    engine =
+        EntryEngine.create(
+            new EntryId("ourthe-e0", "bench"), DOMAIN, List.of(DOMAIN), EngineSettings.standard());
+    for (int number = 0; number < workerCount; number++) {
+      workers.add(WorkerModel.create("w" + number));
+      instances.add(instance("w" + number, LiveInstance.Kind.WORKER));
+    }
+    for (int number = 1; number <= peers; number++) {
+      instances.add(instance("ourthe-e" + number, LiveInstance.Kind.ENTRY));
+    }
+  }
+
+  /** Returns an engine that holds all the workers and hears draining peers. */
+  static EngineBench ready(int workerCount, int peers) {
+    EngineBench bench = new EngineBench(workerCount, peers);
+    bench.handle(new Event.LiveListRead(new LiveList(START, bench.instances)));
+    PeerMessage offer = new PeerMessage.ConfigurationOffered(1, configuration().toJson());
+    bench.handle(
+        new Event.PeerMessageReceived(
+            new PeerMessage.Envelope(new EntryId("ourthe-e1", "x"), Optional.empty(), offer)));
+    bench.idle(Duration.ofSeconds(6));
+    return bench;
+  }
+
+  private static LiveInstance instance(String name, LiveInstance.Kind kind) {
+    boolean worker = kind == LiveInstance.Kind.WORKER;
+    return new LiveInstance(
+        name,
+        kind,
+        DOMAIN,
+        "rack",
+        name,
+        worker ? Optional.empty() : Optional.of(name),
+        LiveInstance.State.LIVE,
+        worker ? Resources.of(64, 256 * 1024, 2) : Resources.NONE,
+        worker ? 8 : 0,
+        64);
+  }
+
+  private static Configuration configuration() {
+    return Configuration.named("bench")
+        .with(Team.named("team", Resources.of(1_000_000, 1_000_000_000L, 1_000_000)))
+        .with(WorkClass.service("check", "team").running(Duration.ofMillis(20)));
+  }
+
+  private void handle(Event event) {
+    for (Effect effect : engine.handle(event, now)) {
+      if (effect instanceof Effect.CallWorker call) {
+        workerCalls++;
+        reply(call);
+      } else if (effect instanceof Effect.SendToPeer send) {
+        bytes += PeerLinkSizes.sizeOf(send.envelope());
+      }
+    }
+  }
+
+  private void reply(Effect.CallWorker call) {
+    WorkerModel worker = workers.get(Integer.parseInt(call.worker().name().substring(1)));
+    WorkerReply reply = worker.handle(call.call(), now);
+    if (call.call() instanceof WorkerCall.StartTask start) {
+      Instant end = worker.endOf(start.attempt()).orElse(now);
+      reply = worker.handle(new WorkerCall.ReadTask(start.attempt()), end);
+    }
+    bytes += jsonSize(call.call()) + HTTP_OVERHEAD_BYTES;
+    replies.add(new Event.WorkerReplied(call.worker(), call.call(), reply));
+  }
+
+  private static int jsonSize(Object value) {
+    try {
+      return Json.mapper().writeValueAsBytes(value).length;
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("call can't be written: " + value, e);
+    }
+  }
+
+  private void drainReplies() {
+    while (!replies.isEmpty()) {
+      handle(replies.remove());
+    }
+  }
+
+  /** Lets time pass with nothing to do but control. */
+  void idle(Duration length) {
+    Instant end = now.plus(length);
+    while (now.isBefore(end)) {
+      now = now.plusMillis(20);
+      hearPeers();
+      handle(new Event.Ticked());
+      drainReplies();
+    }
+  }
+
+  /** Peers are heard as leaving ones, so that all the workers stay with this engine. */
+  private void hearPeers() {
+    if (now.toEpochMilli() % 260 >= 20) {
+      return;
+    }
+    for (int number = 1; number <= peers; number++) {
+      PeerMessage heartbeat = new PeerMessage.Heartbeat(DOMAIN, now, true, 1, 0, 0, 0);
+      handle(
+          new Event.PeerMessageReceived(
+              new PeerMessage.Envelope(
+                  new EntryId("ourthe-e" + number, "x"), Optional.empty(), heartbeat)));
+    }
+  }
+
+  /** Returns the bytes sent so far, with an allowance for the headers of each call. */
+  long bytes() {
+    return bytes;
+  }
+
+  long workerCalls() {
+    return workerCalls;
+  }
+
+  /** Returns the processor time of this thread in nanoseconds. */
+  static long processorNanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+  }
+
+  /** Returns the bytes of live heap. */
+  static long liveHeap() {
+    for (int round = 0; round < 4; round++) {
+      System.gc();
+    }
+    return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+  }
+
+  /** Places requests one after the other and records how long each decision takes. */
+  Histogram place(int count) {
+    Histogram nanos = new Histogram(10_000_000_000L, 3);
+    for (int number = 0; number < count; number++) {
+      lastHandle++;
+      Event event = new Event.RequestReceived(lastHandle, request());
+      long before = System.nanoTime();
+      List<Effect> effects = engine.handle(event, now);
+      nanos.recordValue(System.nanoTime() - before);
+      for (Effect effect : effects) {
+        if (effect instanceof Effect.CallWorker call) {
+          reply(call);
+        }
+      }
+      if (number % 16 == 15) {
+        drainReplies();
+      }
+      if (number % 2000 == 1999) {
+        idle(Duration.ofMillis(200));
+      }
+    }
+    drainReplies();
+    return nanos;
+  }
+
+  private ServiceRequest request() {
+    return new ServiceRequest(
+        "check",
+        Optional.of(now.plusSeconds(2)),
+        true,
+        Optional.empty(),
+        Optional.empty(),
+        Optional.empty(),
+        "{\"runMillis\":1}");
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/bench/PolicyExperiments.java
@@ -0,0 +1,263 @@
+package org.hyssopport.testkit.bench;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.hyssopport.engine.Event;
+import org.hyssopport.engine.FailureHandling;
+import org.hyssopport.engine.Forwarding;
+import org.hyssopport.engine.JobSubmission;
+import org.hyssopport.engine.Packing;
+import org.hyssopport.engine.Policies;
+import org.hyssopport.engine.Queueing;
+import org.hyssopport.policy.Resources;
+import org.hyssopport.testkit.bench.OpenLoop.Load;
+import org.hyssopport.testkit.cell.FakeCell;
+import org.hyssopport.testkit.standin.RunRecord;
+
+/** Each policy against a plain one, on fake cells with the same seed. */
+final class PolicyExperiments {
+
+  private static final long SEED = 17;
+  private static final int ENTRIES = 3;
+  private static final int WORKERS = 10;
+  private static final long SHORT_MILLIS = 40;
+  private static final Duration PATIENCE = Duration.ofSeconds(1);
+  private static final Duration TAIL = Duration.ofSeconds(15);
+
+  private final List<Row> rows = new ArrayList<>();
+
+  List<Row> rows() {
+    return rows;
+  }
+
+  private void add(String experiment, String variant, String measure, double value, String unit) {
+    Row row = new Row(experiment, variant, measure, value, unit);
+    rows.add(row);
+    System.out.println(row);
+  }
+
+  private static double capacityPerSecond() {
+    return WORKERS * BenchCell.SLOTS * 1000.0 / SHORT_MILLIS;
+  }
+
+  /** Load swings from half of the capacity to three times it within two seconds. */
+  void crest() {
+    crest("split queues, preemption", Policies.standard(), true);
+    crest("shared queue, none", Policies.standard().with(Queueing.SHARED), true);
+    crest("split queues, no batch", Policies.standard(), false);
+  }
+
+  private void crest(String variant, Policies policies, boolean withBatch) {
+    FakeCell cell = BenchCell.start(ENTRIES, WORKERS, policies, SEED);
+    if (withBatch) {
+      submit(cell, "plan", 400, 60_000, Optional.empty(), 0);
+      cell.advance(Duration.ofSeconds(3));
+    }
+    double capacity = capacityPerSecond();
+    OpenLoop base = new OpenLoop(cell, cell.entryNames(), SEED);
+    Load load = new Load("short", SHORT_MILLIS, 0, PATIENCE);
+    base.send(load, Duration.ofSeconds(6), share -> capacity * 0.5);
+    cell.advance(Duration.ofSeconds(6));
+    OpenLoop full = new OpenLoop(cell, cell.entryNames(), SEED + 1);
+    full.send(load, Duration.ofSeconds(4), share -> capacity);
+    cell.advance(Duration.ofSeconds(8));
+    OpenLoop crest = new OpenLoop(cell, cell.entryNames(), SEED + 2);
+    crest.send(
+        load, Duration.ofSeconds(6), share -> capacity * (0.5 + 2.5 * Math.min(1, share * 3)));
+    cell.advance(Duration.ofSeconds(6).plus(TAIL));
+    double offeredAtCrest = (double) crest.sent("short");
+    double holdable = Math.min(offeredAtCrest, capacity * 6);
+    add("crest", variant, "done at half load", 100 * base.doneShare("short"), "%");
+    add("crest", variant, "done at load 1", 100 * full.doneShare("short"), "%");
+    add("crest", variant, "goodput at 3 / capacity", 100 * crest.done("short") / holdable, "%");
+    add("crest", variant, "p99 wait at half load", base.waitMillis("short", 99), "ms");
+  }
+
+  /** Short work beside long work with stragglers of fifty times the usual run time. */
+  void headOfLine() {
+    headOfLine("split queues", Policies.standard(), true);
+    headOfLine("shared queue", Policies.standard().with(Queueing.SHARED), true);
+    headOfLine("split queues, no long work", Policies.standard(), false);
+  }
+
+  private void headOfLine(String variant, Policies policies, boolean withLong) {
+    FakeCell cell = BenchCell.start(ENTRIES, WORKERS, policies, SEED);
+    OpenLoop loop = new OpenLoop(cell, cell.entryNames(), SEED);
+    Duration length = Duration.ofSeconds(30);
+    double capacity = capacityPerSecond();
+    loop.send(
+        new Load("short", SHORT_MILLIS, 0, Duration.ofSeconds(10)),
+        length,
+        share -> capacity * 0.15);
+    if (withLong) {
+      double perSecond = WORKERS * BenchCell.SLOTS / 1.5;
+      loop.send(new Load("long", 800, 0.02, Duration.ofSeconds(60)), length, share -> perSecond);
+    }
+    cell.advance(length.plus(Duration.ofSeconds(70)));
+    add("head of line", variant, "p50 wait of short", loop.waitMillis("short", 50), "ms");
+    add("head of line", variant, "p99 wait of short", loop.waitMillis("short", 99), "ms");
+    add("head of line", variant, "short done", 100 * loop.doneShare("short"), "%");
+    if (withLong) {
+      add("head of line", variant, "long done", 100 * loop.doneShare("long"), "%");
+    }
+  }
+
+  /** Tasks of mixed sizes until nothing more fits. */
+  void packing() {
+    for (Packing packing : Packing.values()) {
+      packing(packing);
+    }
+  }
+
+  private void packing(Packing packing) {
+    Resources capacity = Resources.of(64, 256 * 1024, 8);
+    Policies policies = Policies.standard().with(packing);
+    FakeCell cell = BenchCell.start(1, WORKERS * 3, 4000, capacity, policies, SEED);
+    Random random = new Random(SEED);
+    double demandedShare = 0;
+    int submitted = 0;
+    while (demandedShare < 1.25) {
+      Resources task = mixedSize(random);
+      demandedShare += task.dominantShareOf(capacity.times(WORKERS * 3));
+      submit(cell, "plan", 1, 600_000, Optional.of(task), submitted);
+      submitted++;
+      cell.advance(Duration.ofMillis(60));
+    }
+    cell.advance(Duration.ofSeconds(10));
+    Resources used = Resources.NONE;
+    for (String worker : cell.workerNames()) {
+      for (RunRecord run : cell.worker(worker).history()) {
+        if (run.endedAt().isEmpty()) {
+          used = used.plus(run.resources());
+        }
+      }
+    }
+    Resources whole = capacity.times(WORKERS * 3);
+    add("packing", packing.name(), "processors in use", share(used, whole, 0), "% of all");
+    add("packing", packing.name(), "memory in use", share(used, whole, 1), "% of all");
+    add("packing", packing.name(), "accelerators in use", share(used, whole, 2), "% of all");
+    add("packing", packing.name(), "dominant resource", dominant(used, whole), "% of bound");
+  }
+
+  private static double dominant(Resources used, Resources whole) {
+    return 100 * used.dominantShareOf(whole);
+  }
+
+  private static double share(Resources used, Resources whole, int part) {
+    double[] shares = {
+      (double) used.milliProcessors() / whole.milliProcessors(),
+      (double) used.memoryMebibytes() / whole.memoryMebibytes(),
+      (double) used.accelerators() / whole.accelerators()
+    };
+    return 100 * shares[part];
+  }
+
+  private static Resources mixedSize(Random random) {
+    return switch (random.nextInt(10)) {
+      case 0, 1, 2, 3 -> Resources.of(1 + random.nextInt(4), 2048 + random.nextInt(8192), 0);
+      case 4, 5, 6 -> Resources.of(4 + random.nextInt(9), 16_384 + random.nextInt(32_768), 0);
+      case 7, 8 -> Resources.of(16 + random.nextInt(17), 32_768 + random.nextInt(65_536), 0);
+      default -> Resources.of(8, 32_768, 1 + random.nextInt(4));
+    };
+  }
+
+  /** Requests at several holders against one queue that knows everything. */
+  void holders() {
+    holders("one omniscient queue", 1, Policies.standard());
+    holders("headroom", ENTRIES, Policies.standard());
+    holders("each peer in turn", ENTRIES, Policies.standard().with(Forwarding.IN_TURN));
+    holders("no forwarding", ENTRIES, Policies.standard().with(Forwarding.NONE));
+  }
+
+  private void holders(String variant, int entries, Policies policies) {
+    FakeCell cell = BenchCell.start(entries, WORKERS, policies, SEED);
+    OpenLoop loop = new OpenLoop(cell, cell.entryNames(), SEED);
+    Duration length = Duration.ofSeconds(20);
+    double rate = capacityPerSecond() * 0.85;
+    loop.send(new Load("short", SHORT_MILLIS, 0, Duration.ofSeconds(5)), length, share -> rate);
+    cell.advance(length.plus(Duration.ofSeconds(8)));
+    add("holders", variant, "p50 wait at load 0.85", loop.waitMillis("short", 50), "ms");
+    add("holders", variant, "p99 wait at load 0.85", loop.waitMillis("short", 99), "ms");
+    add("holders", variant, "done", 100 * loop.doneShare("short"), "%");
+  }
+
+  /** A tenth of the workers fails everything. */
+  void failures() {
+    failures("all workers sound", Policies.standard(), false);
+    failures("budget and ejection", Policies.standard(), true);
+    failures("retries without limit", Policies.standard().with(FailureHandling.UNLIMITED), true);
+  }
+
+  private void failures(String variant, Policies policies, boolean broken) {
+    FakeCell cell = BenchCell.start(ENTRIES, WORKERS, policies, SEED);
+    if (broken) {
+      cell.worker(cell.workerNames().get(0)).setFailsEverything(true);
+    }
+    OpenLoop loop = new OpenLoop(cell, cell.entryNames(), SEED);
+    Duration length = Duration.ofSeconds(30);
+    double rate = capacityPerSecond() * 0.4;
+    loop.send(new Load("short", SHORT_MILLIS, 0, PATIENCE), length, share -> rate);
+    cell.advance(length.plus(Duration.ofSeconds(8)));
+    long runs =
+        cell.workerNames().stream().mapToLong(name -> cell.worker(name).history().size()).sum();
+    double extra = 100.0 * (runs - loop.sent("short")) / loop.sent("short");
+    add("failures", variant, "done", 100 * loop.doneShare("short"), "%");
+    add("failures", variant, "extra runs", extra, "%");
+    add("failures", variant, "p99 wait", loop.waitMillis("short", 99), "ms");
+  }
+
+  /** The holder of running tasks and free slots is killed. */
+  void takeOver() {
+    FakeCell cell = BenchCell.start(ENTRIES, WORKERS, Policies.standard(), SEED);
+    submit(cell, "plan", 30, 120_000, Optional.empty(), 0);
+    cell.advance(Duration.ofSeconds(3));
+    String killed = cell.entryNames().get(0);
+    cell.killEntry(killed);
+    long waitedMillis = 0;
+    int step = 50;
+    while (waitedMillis < 20_000 && !allHeldBy(cell, killed)) {
+      cell.advance(Duration.ofMillis(step));
+      waitedMillis += step;
+    }
+    cell.advance(Duration.ofSeconds(3));
+    long stillRunning =
+        cell.workerNames().stream()
+            .flatMap(name -> cell.worker(name).history().stream())
+            .filter(run -> run.endedAt().isEmpty())
+            .count();
+    add("take-over", "leases of 3 s", "until all workers are held", (double) waitedMillis, "ms");
+    add("take-over", "leases of 3 s", "tasks kept of 30", (double) stillRunning, "tasks");
+  }
+
+  private static boolean allHeldBy(FakeCell cell, String killed) {
+    return cell.workerNames().stream()
+        .allMatch(
+            name ->
+                cell.worker(name)
+                    .holder(cell.now())
+                    .filter(holder -> !holder.name().equals(killed))
+                    .isPresent());
+  }
+
+  private static void submit(
+      FakeCell cell,
+      String className,
+      int tasks,
+      long runMillis,
+      Optional<Resources> resources,
+      int number) {
+    JobSubmission job =
+        new JobSubmission(
+            Optional.empty(),
+            className,
+            tasks,
+            resources,
+            Optional.empty(),
+            "{\"runMillis\":" + runMillis + ",\"job\":" + number + "}");
+    cell.call(
+        cell.entryNames().get(0), handle -> new Event.JobSubmitted(handle, job), answer -> {});
+  }
+}
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/FakeCell.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/cell/FakeCell.java
@@ -40,7 +40,6 @@
  */
 public final class FakeCell {
 
-  private static final Duration TICK = Duration.ofMillis(100);
   private static final Duration LIST_INTERVAL = Duration.ofMillis(500);
   private static final Duration TIMEOUT = Duration.ofMillis(1500);
   private static final Duration REPORT_LAG = Duration.ofMillis(150);
@@ -84,7 +83,7 @@
       entries.put(entry.name(), entry);
       listed.put(entry.name(), listing(entry.name(), domain, LiveInstance.Kind.ENTRY));
       startEntry(entry.name());
-      Duration offset = Duration.ofMillis(random.nextInt((int) TICK.toMillis()));
+      Duration offset = Duration.ofMillis(random.nextInt((int) shape.tick().toMillis()));
       clock.after(offset, () -> tick(entry));
     }
     for (int number = 1; number <= shape.workersPerDomain(); number++) {
@@ -169,6 +168,11 @@
     clock.advance(length);
   }
 
+  /** Runs something at a moment. */
+  public void at(Instant moment, Runnable action) {
+    clock.at(moment, action);
+  }
+
   /** Starts a new run of an entry instance. */
   public void startEntry(String name) {
     FakeEntry entry = entries.get(name);
@@ -269,7 +273,7 @@
       readStreams(entry);
       handle(entry, new Event.Ticked());
     }
-    clock.after(TICK, () -> tick(entry));
+    clock.after(shape.tick(), () -> tick(entry));
   }
 
   private void readStreams(FakeEntry entry) {
@@ -335,7 +339,7 @@
         () -> {
           boolean sameRun = entry.isAlive() && entry.id().incarnation().equals(incarnation);
           if (sameRun && entry.isFrozen()) {
-            clock.after(TICK, () -> depart(entry, incarnation, send));
+            clock.after(shape.tick(), () -> depart(entry, incarnation, send));
           } else if (sameRun) {
             send.run();
           }
@@ -505,6 +509,7 @@
    * @param workerCapacity what a worker can hold
    * @param slots what a worker runs at once
    * @param listLag how old the live list is
+   * @param tick how often an engine is told that time passed
    * @param settings the settings of all engines
    */
   public record CellShape(
@@ -514,6 +519,7 @@
       Resources workerCapacity,
       int slots,
       Duration listLag,
+      Duration tick,
       EngineSettings settings) {
 
     /** Copies the list. */
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/ModuleArrowTests.java
@@ -0,0 +1,73 @@
+package org.hyssopport.testkit;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ImportOption.DoNotIncludeTests;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** The arrows between modules point one way. */
+@AnalyzeClasses(packages = "org.hyssopport", importOptions = DoNotIncludeTests.class)
+class ModuleArrowTests {
+
+  @ArchTest
+  void arrowsPointOneWay(JavaClasses classes) {
+    ArchRule rule =
+        layeredArchitecture()
+            .consideringOnlyDependenciesInLayers()
+            .layer("policy")
+            .definedBy("org.hyssopport.policy..")
+            .layer("engine")
+            .definedBy("org.hyssopport.engine..")
+            .layer("protocol")
+            .definedBy("org.hyssopport.protocol..")
+            .layer("launcher")
+            .definedBy("org.hyssopport.launcher..")
+            .layer("console")
+            .definedBy("org.hyssopport.console..")
+            .layer("testkit")
+            .definedBy("org.hyssopport.testkit..")
+            .whereLayer("testkit")
+            .mayNotBeAccessedByAnyLayer()
+            .whereLayer("console")
+            .mayNotBeAccessedByAnyLayer()
+            .whereLayer("launcher")
+            .mayOnlyBeAccessedByLayers("console")
+            .whereLayer("protocol")
+            .mayOnlyBeAccessedByLayers("launcher")
+            .whereLayer("engine")
+            .mayOnlyBeAccessedByLayers("protocol", "launcher", "console", "testkit");
+    rule.check(classes);
+  }
+
+  @ArchTest
+  void engineDoesNoInputOrOutput(JavaClasses classes) {
+    ArchRule rule =
+        noClasses()
+            .that()
+            .resideInAPackage("org.hyssopport.engine..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                "java.io..", "java.net..", "java.nio.file..", "java.util.concurrent..");
+    rule.check(classes);
+  }
+
+  @ArchTest
+  void oracleKnowsNothingElse(JavaClasses classes) {
+    ArchRule rule =
+        noClasses()
+            .that()
+            .resideInAPackage("org.hyssopport.testkit.oracle..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                "org.hyssopport.engine..",
+                "org.hyssopport.policy..",
+                "org.hyssopport.testkit.cell..");
+    rule.check(classes);
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/CellFuzzFourthTests.java
@@ -0,0 +1,14 @@
+package org.hyssopport.testkit.cell;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.state.ActionChain;
+
+/** The fourth quarter of the stateful fuzzing, run beside the others. */
+class CellFuzzFourthTests extends CellFuzz {
+
+  @Property(seed = "20261207")
+  void whatMustAlwaysHoldHolds(@ForAll("chains") ActionChain<FuzzRun> chain) {
+    expectNoFindings(chain);
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/CellFuzzSecondTests.java
@@ -0,0 +1,14 @@
+package org.hyssopport.testkit.cell;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.state.ActionChain;
+
+/** The second quarter of the stateful fuzzing, run beside the others. */
+class CellFuzzSecondTests extends CellFuzz {
+
+  @Property(seed = "20261205")
+  void whatMustAlwaysHoldHolds(@ForAll("chains") ActionChain<FuzzRun> chain) {
+    expectNoFindings(chain);
+  }
+}
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/FuzzRun.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/cell/FuzzRun.java
@@ -39,6 +39,7 @@
             Resources.of(4, 8192, 1),
             4,
             Duration.ofSeconds(1),
+            Duration.ofMillis(100),
             settings);
     FuzzRun run = new FuzzRun(FakeCell.create(shape, seed));
     run.cell.advance(Duration.ofSeconds(4));
