Slots at peers are given back with each answer, and short waits are shed by likely run time

A peer could be sent its advertised slots only once per heartbeat, and requests were started with half of their usual run time left, so that their slots were wasted. Change: an answer gives its slot back to the asker's view; a holder with room tells peers with waiting work at once; with few waiting a peer is tried in turn; a request is refused once less than one and a half times its usual run time is left.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Dispatcher.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Dispatcher.java
@@ -129,13 +129,13 @@
   }
 
   private boolean settleWaiting(Request request, Lane lane) {
-    Instant needed = context.now().plusMillis(estimate(request).surelyNeededMillis());
+    Instant needed = context.now().plusMillis(estimate(request).likelyNeededMillis());
     if (needed.isAfter(request.deadline())) {
       queue.remove(request);
       giveUpWaiting(request);
       return true;
     }
-    if (sendToOwnWorker(request, lane) || forwarder.forward(request, lane)) {
+    if (sendToOwnWorker(request, lane) || forwarder.forward(request, lane, queue.size())) {
       queue.remove(request);
       return true;
     }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/EntryEngine.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/EntryEngine.java
@@ -47,7 +47,6 @@
   private final GangScheduler gangs;
   private final JobDesk jobs;
   private Instant nextHeadroomNotice = Instant.EPOCH;
-  private int advertisedShortSlots;
   private boolean drainedSaid;
 
   private EntryEngine(EngineContext context) {
@@ -189,14 +188,13 @@
   }
 
   private void sendHeartbeat(Membership.Peer peer) {
-    advertisedShortSlots = pool.freeSlots(Lane.SHORT);
     PeerMessage.Heartbeat heartbeat =
         new PeerMessage.Heartbeat(
             context.failureDomain(),
             context.now(),
             context.isDraining(),
             configuration.version(),
-            advertisedShortSlots,
+            pool.freeSlots(Lane.SHORT),
             pool.freeSlots(Lane.LONG),
             dispatcher.waiting());
     send(peer, Optional.empty(), heartbeat);
@@ -209,11 +207,14 @@
 
   /** Tells peers with waiting requests at once that slots became free here. */
   private void announceHeadroomIfWanted() {
-    boolean checked = advertisedShortSlots == 0 && !context.now().isBefore(nextHeadroomNotice);
-    if (!checked || dispatcher.waiting() > 0 || pool.freeSlots(Lane.SHORT) == 0) {
+    boolean due = !context.now().isBefore(nextHeadroomNotice);
+    if (!due || dispatcher.waiting() > 0 || !membership.anyPeerWaits()) {
+      return;
+    }
+    nextHeadroomNotice = context.now().plus(context.settings().heartbeatInterval().dividedBy(25));
+    if (pool.freeSlots(Lane.SHORT) == 0) {
       return;
     }
-    nextHeadroomNotice = context.now().plus(context.settings().heartbeatInterval().dividedBy(50));
     for (Membership.Peer peer : membership.peers()) {
       if (peer.hasWaiting() && peer.domain().equals(context.failureDomain())) {
         sendHeartbeat(peer);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Forwarder.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Forwarder.java
@@ -27,6 +27,8 @@
 final class Forwarder {
 
   private static final Duration FIRST_QUERY_DELAY = Duration.ofMillis(400);
+  private static final Duration PROBE_INTERVAL = Duration.ofMillis(1);
+  private static final int MOST_WAITING_TO_PROBE = 16;
   private static final Duration REMOTE_QUERY_PATIENCE = Duration.ofSeconds(2);
   private static final Duration QUERY_INTERVAL = Duration.ofMillis(250);
 
@@ -37,6 +39,7 @@
   private final Map<AttemptId, Received> received = new LinkedHashMap<>();
   private final Map<AttemptId, RemoteQuery> remoteQueries = new HashMap<>();
   private long turn;
+  private Instant nextProbe = Instant.EPOCH;
   private Instant nextCheck = Instant.EPOCH;
 
   Forwarder(EngineContext context, Membership membership, RequestBook book) {
@@ -45,17 +48,20 @@
     this.book = book;
   }
 
-  /** Passes a request on if some peer seems to have a free slot. */
-  boolean forward(Request request, Lane lane) {
+  /**
+   * Passes a request on if some peer seems to have a free slot, or, while few requests wait, to one
+   * peer in turn, since what the peers told may be out of date.
+   */
+  boolean forward(Request request, Lane lane, int waiting) {
     if (!request.mayBeForwarded()) {
       return false;
     }
-    Optional<Peer> chosen = choose(request, lane);
+    Optional<Peer> chosen = choose(request, lane, waiting);
     chosen.ifPresent(peer -> send(request, peer));
     return chosen.isPresent();
   }
 
-  private Optional<Peer> choose(Request request, Lane lane) {
+  private Optional<Peer> choose(Request request, Lane lane, int waiting) {
     List<Peer> usable =
         membership.peers().stream()
             .filter(peer -> peer.isHeard(context.now(), context.settings()))
@@ -65,7 +71,19 @@
         usable.stream().filter(peer -> peer.domain().equals(context.failureDomain())).toList();
     turn++;
     Forwarding forwarding = context.settings().policies().forwarding();
-    return forwarding.choose(near, lane, turn).or(() -> forwarding.choose(usable, lane, turn));
+    return forwarding
+        .choose(near, lane, turn)
+        .or(() -> forwarding.choose(usable, lane, turn))
+        .or(() -> probe(forwarding, near, lane, waiting));
+  }
+
+  private Optional<Peer> probe(Forwarding forwarding, List<Peer> near, Lane lane, int waiting) {
+    boolean due = !context.now().isBefore(nextProbe);
+    if (forwarding != Forwarding.HEADROOM || waiting > MOST_WAITING_TO_PROBE || !due) {
+      return Optional.empty();
+    }
+    nextProbe = context.now().plus(PROBE_INTERVAL);
+    return Forwarding.IN_TURN.choose(near, lane, turn);
   }
 
   private void send(Request request, Peer peer) {
@@ -155,8 +173,8 @@
     if (answerQuery(message.attempt(), told)) {
       return Optional.empty();
     }
-    if (message.outcome() != Outcome.UNKNOWN) {
-      outstanding.remove(message.attempt());
+    if (message.outcome() != Outcome.UNKNOWN && outstanding.remove(message.attempt()) != null) {
+      membership.peer(sender).ifPresent(Peer::returnSlot);
     }
     if (message.outcome() == Outcome.DONE) {
       return book.active(message.attempt().task());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Membership.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Membership.java
@@ -94,6 +94,11 @@
     return peers.values();
   }
 
+  /** Tells whether any peer said that requests wait there. */
+  boolean anyPeerWaits() {
+    return peers.values().stream().anyMatch(Peer::hasWaiting);
+  }
+
   /** Returns the peer that runs as exactly this incarnation and is heard. */
   Optional<Peer> peer(EntryId id) {
     Peer peer = peers.get(id.name());
@@ -247,6 +252,11 @@
       freeLongSlots--;
     }
 
+    void returnSlot() {
+      freeShortSlots++;
+      freeLongSlots++;
+    }
+
     void update(int newFreeShortSlots, int newFreeLongSlots) {
       freeShortSlots = newFreeShortSlots;
       freeLongSlots = newFreeLongSlots;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/RunTimeEstimate.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/RunTimeEstimate.java
@@ -9,6 +9,7 @@
   private static final double WIDE_PRIOR_WEIGHT = 0.5;
   private static final int FEW_OBSERVATIONS = 5;
   private static final double LONG_MILLIS = 500;
+  private static final double SPREAD = 1.5;
 
   private double meanLogMillis;
   private int observations;
@@ -31,9 +32,9 @@
     return Math.exp(meanLogMillis);
   }
 
-  /** Returns a run time that the work surely needs, as far as was seen; 0 before that. */
-  long surelyNeededMillis() {
-    return observations < FEW_OBSERVATIONS ? 0 : (long) (typicalMillis() / 2);
+  /** Returns a run time that most of the work does not exceed, as far as was seen; 0 before. */
+  long likelyNeededMillis() {
+    return observations < FEW_OBSERVATIONS ? 0 : (long) (typicalMillis() * SPREAD);
   }
 
   boolean isLong() {
