--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/OutlierEjection.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/OutlierEjection.java
@@ -36,6 +36,9 @@
   }
 
   private void ejectIfDeserved(HeldWorker worker) {
+    if (!worker.health().deservesEjection(0)) {
+      return;
+    }
     List<Double> shares =
         pool.workers().stream()
             .filter(other -> other.state() == LeaseState.ACTIVE)
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/LiveListDuty.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/LiveListDuty.java
@@ -10,7 +10,7 @@
 /** The thread that reads the live list. */
 final class LiveListDuty implements Runnable {
 
-  private static final Duration INTERVAL = Duration.ofMillis(500);
+  private static final Duration INTERVAL = Duration.ofSeconds(2);
 
   private final LiveListClient client;
   private final EngineLoop loop;
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/bench/EngineBench.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/bench/EngineBench.java
@@ -20,6 +20,9 @@
 import org.hyssopport.engine.platform.FailureDomain;
 import org.hyssopport.engine.platform.LiveInstance;
 import org.hyssopport.engine.platform.LiveList;
+import org.hyssopport.engine.platform.TaskPhase;
+import org.hyssopport.engine.platform.TaskResult;
+import org.hyssopport.engine.platform.TaskView;
 import org.hyssopport.engine.platform.WorkerCall;
 import org.hyssopport.engine.platform.WorkerReply;
 import org.hyssopport.policy.Configuration;
@@ -107,15 +110,27 @@
 
   private void reply(Effect.CallWorker call) {
     WorkerModel worker = workers.get(Integer.parseInt(call.worker().name().substring(1)));
-    WorkerReply reply = worker.handle(call.call(), now);
-    if (call.call() instanceof WorkerCall.StartTask start) {
-      Instant end = worker.endOf(start.attempt()).orElse(now);
-      reply = worker.handle(new WorkerCall.ReadTask(start.attempt()), end);
-    }
+    WorkerReply reply =
+        call.call() instanceof WorkerCall.StartTask start
+            ? endedAtOnce(start)
+            : worker.handle(call.call(), now);
     bytes += jsonSize(call.call()) + HTTP_OVERHEAD_BYTES;
     replies.add(new Event.WorkerReplied(call.worker(), call.call(), reply));
   }
 
+  private WorkerReply endedAtOnce(WorkerCall.StartTask start) {
+    TaskView view =
+        new TaskView(
+            start.attempt(),
+            TaskPhase.ENDED,
+            start.resources(),
+            start.kept(),
+            Optional.of(TaskResult.DONE),
+            Optional.of("done"),
+            Optional.of(now));
+    return new WorkerReply.TaskState(now, "boot", view);
+  }
+
   private static int jsonSize(Object value) {
     try {
       return Json.mapper().writeValueAsBytes(value).length;
