--- a/hyssopport-console/src/main/java/org/hyssopport/console/ClientCommands.java
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/ClientCommands.java
@@ -34,16 +34,11 @@
   }
 
   ExitCode checkConfiguration() {
-    Optional<String> text = readFile(flags.getString("file"));
-    if (text.isEmpty()) {
-      return ExitCode.USAGE;
-    }
-    Either<List<Finding>, Configuration> checked = ConfigurationReader.read(text.get());
-    if (checked.isLeft()) {
-      checked.getLeft().forEach(output.err()::println);
-      return ExitCode.REFUSED;
+    Either<ExitCode, SoundConfiguration> read = readConfiguration();
+    if (read.isLeft()) {
+      return read.getLeft();
     }
-    Configuration known = checked.get();
+    Configuration known = read.get().configuration();
     output
         .out()
         .println(
@@ -58,26 +53,35 @@
   }
 
   ExitCode publishConfiguration() {
-    Optional<String> text = readFile(flags.getString("file"));
-    if (text.isEmpty()) {
-      return ExitCode.USAGE;
-    }
-    Either<List<Finding>, Configuration> checked = ConfigurationReader.read(text.get());
-    if (checked.isLeft()) {
-      checked.getLeft().forEach(output.err()::println);
-      return ExitCode.REFUSED;
+    Either<ExitCode, SoundConfiguration> read = readConfiguration();
+    if (read.isLeft()) {
+      return read.getLeft();
     }
     String base = flags.getString("base");
     if (!base.matches("-?\\d{1,18}")) {
       output.err().println("--base: must be a version or -1, but is " + base);
       return ExitCode.USAGE;
     }
-    String body = "{\"base\":" + base + ",\"configuration\":" + text.get() + "}";
+    String body = "{\"base\":" + base + ",\"configuration\":" + read.get().text() + "}";
     return output.print(
         entry().post("/configuration", body),
         (reply, out) -> out.println("version " + reply.path("version").asLong() + " is in force"));
   }
 
+  /** Reads and checks the configuration file, and prints every finding. */
+  private Either<ExitCode, SoundConfiguration> readConfiguration() {
+    Optional<String> text = readFile(flags.getString("file"));
+    if (text.isEmpty()) {
+      return Either.left(ExitCode.USAGE);
+    }
+    Either<List<Finding>, Configuration> checked = ConfigurationReader.read(text.get());
+    if (checked.isLeft()) {
+      checked.getLeft().forEach(output.err()::println);
+      return Either.left(ExitCode.REFUSED);
+    }
+    return Either.right(new SoundConfiguration(text.get(), checked.get()));
+  }
+
   ExitCode showConfiguration() {
     return output.print(
         entry().get("/configuration"),
@@ -192,4 +196,12 @@
       return Optional.empty();
     }
   }
+
+  /**
+   * A configuration without findings.
+   *
+   * @param text its printed form
+   * @param configuration what it says
+   */
+  private record SoundConfiguration(String text, Configuration configuration) {}
 }
--- a/hyssopport-console/src/test/java/org/hyssopport/console/HyssopportTests.java
+++ b/hyssopport-console/src/test/java/org/hyssopport/console/HyssopportTests.java
@@ -24,6 +24,8 @@
       "serve --name n1 --failure-domain north --failure-domains north --listen 127.0.0.1:1"
           + " --peer-listen 127.0.0.1:2 --log 127.0.0.1:3 --live-list 127.0.0.1:4";
 
+  private static final String GUIDE_COMMAND = "    hyssopport ";
+
   private final ByteArrayOutputStream out = new ByteArrayOutputStream();
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
@@ -123,6 +125,20 @@
     assertEquals(ExitCode.OK, run(line, Map.of()));
   }
 
+  @Test
+  void everyCommandOfTheUserGuideIsUnderstood() throws IOException {
+    Path guide = Path.of(System.getProperty("root.directory"), "docs", "USER-GUIDE.md");
+    int understood = 0;
+    for (String line : Files.readAllLines(guide)) {
+      if (line.startsWith(GUIDE_COMMAND)) {
+        run(line.substring(GUIDE_COMMAND.length()).replace("HOST:PORT", "127.0.0.1:1"), Map.of());
+        assertFalse(errors().contains("--help"), line + ": " + errors());
+        understood++;
+      }
+    }
+    assertTrue(understood >= 6, "commands in the guide: " + understood);
+  }
+
   private ExitCode run(String line, Map<String, String> variables) {
     return Hyssopport.run(
         line.split(" ", -1),
--- /dev/null
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/CallerInputsTests.java
@@ -0,0 +1,67 @@
+package org.hyssopport.launcher;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.hyssopport.policy.Finding;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What callers send is read, and every fault is told with its place. */
+class CallerInputsTests {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1000);
+  private static final Pattern CURL = Pattern.compile("-d '([^']*)' http://HOST:PORT/(\\w+)");
+
+  @ParameterizedTest
+  @CsvSource({
+    "service, '{}'",
+    "body, '{\"service\":\"a\",\"body\":7}'",
+    "deadline, '{\"service\":\"a\",\"deadline\":\"soon\"}'",
+    "patience, '{\"service\":\"a\",\"patience\":\"soon\"}'",
+    "patience, '{\"service\":\"a\",\"patience\":\"PT1S\",\"deadline\":5}'",
+    "repeatable, '{\"service\":\"a\",\"repeatable\":1}'",
+    "bodi, '{\"service\":\"a\",\"bodi\":\"x\"}'",
+    "line 1, '{\"service\":'",
+    "'', '[]'"
+  })
+  void faultOfOneRequestNamesItsPlace(String place, String text) {
+    List<Finding> findings = CallerInputs.serviceRequest(text, NOW).getLeft();
+    assertEquals(place, findings.get(0).place(), findings::toString);
+  }
+
+  @Test
+  void allFaultsOfOneJobComeTogether() {
+    String text = "{\"tasks\":0,\"payload\":4,\"resources\":{\"accelerators\":-1},\"x\":1}";
+    List<String> places =
+        CallerInputs.jobSubmission(text, NOW).getLeft().stream().map(Finding::place).toList();
+    assertTrue(
+        places.containsAll(List.of("tasks", "payload", "resources.accelerators", "x", "class")),
+        places::toString);
+  }
+
+  @Test
+  void everyExampleOfTheUserGuideIsAccepted() throws IOException {
+    Path guide = Path.of(System.getProperty("root.directory"), "docs", "USER-GUIDE.md");
+    Matcher examples = CURL.matcher(Files.readString(guide));
+    int accepted = 0;
+    while (examples.find()) {
+      String text = examples.group(1);
+      boolean sound =
+          examples.group(2).equals("jobs")
+              ? CallerInputs.jobSubmission(text, NOW).isRight()
+              : CallerInputs.serviceRequest(text, NOW).isRight();
+      assertTrue(sound, text);
+      accepted++;
+    }
+    assertTrue(accepted >= 2, "examples in the guide: " + accepted);
+  }
+}
