A failure domain counts as gone only after it was looked for during the adoption delay

Cause: the demo's time line showed 26 ownership records for 6 streams (234 events at 9 instances): instances that start while the live list is still empty took every other domain for gone at once, adopted its streams, and the home domains took them back. Safety does not rest on it, but each change of owner makes claims under way invalid. Ruled out: restarts, cuts (there were none). Change: a domain that was never seen is first looked for during the adoption delay.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/Membership.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/Membership.java
@@ -138,7 +138,7 @@
       return false;
     }
     Duration delay = context.settings().adoptionDelay();
-    Instant seen = lastSeen.getOrDefault(domain, Instant.EPOCH);
+    Instant seen = lastSeen.computeIfAbsent(domain, key -> context.now());
     boolean listFresh = !listReadAt.get().isBefore(context.now().minus(delay));
     return listFresh && seen.isBefore(context.now().minus(delay));
   }
