--- /dev/null
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/CellCommand.java
@@ -0,0 +1,64 @@
+package org.hyssopport.console;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.hyssopport.launcher.cell.CellMember;
+import org.hyssopport.platform.InstanceSettings;
+import org.hyssopport.policy.Finding;
+import sun.misc.Signal;
+
+/** Runs a member of a cell on the users' platform. */
+final class CellCommand {
+
+  static final String NAME = "cell";
+
+  private CellCommand() {}
+
+  static void describe(Subparsers subparsers) {
+    Subparser parser = subparsers.addParser(NAME).help("run a member of a cell");
+    parser
+        .addArgument("--settings")
+        .help("the platform's settings file; also from " + InstanceSettings.PATH_VARIABLE)
+        .setDefault(System.getenv().getOrDefault(InstanceSettings.PATH_VARIABLE, ""));
+  }
+
+  static ExitCode run(Namespace flags, PrintStream out, PrintStream err) {
+    Path file = Path.of(flags.getString("settings"));
+    Either<List<Finding>, InstanceSettings> settings = InstanceSettings.read(file);
+    if (settings.isLeft()) {
+      settings.getLeft().forEach(err::println);
+      return ExitCode.USAGE;
+    }
+    try {
+      CellMember member = CellMember.start(settings.get(), out);
+      Signal.handle(new Signal("HUP"), signal -> member.reloaded(InstanceSettings.read(file)));
+      return awaitEnd(member);
+    } catch (IOException e) {
+      err.println("an address of " + file + " can't be taken: " + e.getMessage());
+      return ExitCode.USAGE;
+    }
+  }
+
+  private static ExitCode awaitEnd(CellMember member) {
+    Thread leave =
+        new Thread(
+            () -> {
+              member.leave();
+              Runtime.getRuntime().halt(ExitCode.OK.code());
+            },
+            "leave");
+    Runtime.getRuntime().addShutdownHook(leave);
+    try {
+      Thread.currentThread().join();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return ExitCode.OK;
+  }
+}
--- a/hyssopport-console/src/main/java/org/hyssopport/console/Hyssopport.java
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/Hyssopport.java
@@ -79,6 +79,7 @@
     parser.addArgument("--version").action(Arguments.version());
     Subparsers commands = parser.addSubparsers().dest(COMMAND).metavar("COMMAND");
     ServeCommand.describe(commands, environment);
+    CellCommand.describe(commands);
     describeConfiguration(commands);
     Subparser submit = client(commands, "submit", "send a request or a job from a JSON file");
     submit.addArgument("file").help("the JSON file, or - for standard input");
@@ -148,6 +149,7 @@
     String command = flags.getString(COMMAND);
     return switch (subcommand == null ? command : command + " " + subcommand) {
       case ServeCommand.NAME -> ServeCommand.run(flags, err);
+      case CellCommand.NAME -> CellCommand.run(flags, out, err);
       case "configuration check" -> client.checkConfiguration();
       case "configuration publish" -> client.publishConfiguration();
       case "configuration show" -> client.showConfiguration();
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration of a cell in force. */
+package org.hyssopport.engine.configuration;
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Job.java
@@ -0,0 +1,201 @@
+package org.hyssopport.engine.job;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A job that was accepted, and how far it has got.
+ *
+ * @since 0.2
+ */
+public final class Job {
+
+  private final JobDefinition definition;
+  private final Instant acceptedAt;
+  private final Instant objective;
+  private final List<List<StepRun>> occurrences = new ArrayList<>();
+  private JobState state = JobState.QUEUED;
+  private JobState shownState = JobState.QUEUED;
+  private boolean acceptanceStored;
+  private Optional<Instant> overSince = Optional.empty();
+
+  private Job(JobDefinition definition, Instant acceptedAt) {
+    this.definition = definition;
+    this.acceptedAt = acceptedAt;
+    this.objective = acceptedAt.plus(allowedTime(definition));
+    for (int occurrence = 0; occurrence < definition.runs(); occurrence++) {
+      List<StepRun> steps = new ArrayList<>();
+      for (int step = 0; step < definition.steps().size(); step++) {
+        StepId id = new StepId(definition.id(), occurrence, step);
+        steps.add(new StepRun(this, id, definition.steps().get(step)));
+      }
+      occurrences.add(steps);
+    }
+  }
+
+  /**
+   * Returns a job that was just accepted.
+   *
+   * @param definition the job
+   * @param acceptedAt when it was accepted, by the local steady clock
+   * @return the job
+   */
+  public static Job accepted(JobDefinition definition, Instant acceptedAt) {
+    return new Job(definition, acceptedAt);
+  }
+
+  private static Duration allowedTime(JobDefinition definition) {
+    double chainMillis = definition.longestChain().toMillis();
+    long stretched = (long) (definition.queue().stretch() * chainMillis);
+    return definition.queue().allowance().plusMillis(stretched);
+  }
+
+  /** Returns what was accepted. */
+  public JobDefinition definition() {
+    return definition;
+  }
+
+  /** Returns its id. */
+  public JobId id() {
+    return definition.id();
+  }
+
+  /** Returns when it was accepted, by the local steady clock. */
+  public Instant acceptedAt() {
+    return acceptedAt;
+  }
+
+  /** Returns by when it should be complete, by the local steady clock. */
+  public Instant objective() {
+    return objective;
+  }
+
+  /** Returns its state. */
+  public JobState state() {
+    return state;
+  }
+
+  /** Returns the newest state that is stored, which is the one to show. */
+  public JobState shownState() {
+    return shownState;
+  }
+
+  /** Notes that a state is stored. */
+  public void stateStored(JobState stored) {
+    shownState = shownState.isOver() ? shownState : stored;
+  }
+
+  /** Tells whether its acceptance is stored. */
+  public boolean acceptanceStored() {
+    return acceptanceStored;
+  }
+
+  /** Notes that its acceptance is stored. */
+  public void markAcceptanceStored() {
+    acceptanceStored = true;
+  }
+
+  /** Tells whether nothing has to run any more. */
+  public boolean isOver() {
+    return state.isOver();
+  }
+
+  /** Returns when it was over, by the local steady clock. */
+  public Optional<Instant> overSince() {
+    return overSince;
+  }
+
+  /** Returns all steps of all occurrences. */
+  public List<StepRun> steps() {
+    return occurrences.stream().flatMap(List::stream).toList();
+  }
+
+  /** Returns a task, if the job has it. */
+  public Optional<StepRun> step(StepId id) {
+    boolean known =
+        id.occurrence() >= 0
+            && id.occurrence() < occurrences.size()
+            && id.step() >= 0
+            && id.step() < definition.steps().size();
+    return known ? Optional.of(occurrences.get(id.occurrence()).get(id.step())) : Optional.empty();
+  }
+
+  /** Tells whether a step's turn has come: it is due and all steps before it are done. */
+  public boolean isTurnOf(StepRun step, Instant timeOfDay) {
+    if (isOver() || step.done()) {
+      return false;
+    }
+    int occurrence = step.id().occurrence();
+    if (definition.timed() && timeOfDay.isBefore(definition.dueAt(occurrence))) {
+      return false;
+    }
+    return step.definition().after().stream()
+        .allMatch(earlier -> occurrences.get(occurrence).get(earlier).done());
+  }
+
+  /** Notes that a task has begun. */
+  public void markStarted() {
+    if (state == JobState.QUEUED) {
+      state = JobState.RUNNING;
+    }
+  }
+
+  /** Ends the job if all is done, or if a step has failed too often. */
+  public void updateState(Instant now) {
+    if (isOver()) {
+      return;
+    }
+    boolean failed = steps().stream().anyMatch(this::hasFailed);
+    if (failed) {
+      end(JobState.FAILED, now);
+    } else if (steps().stream().allMatch(StepRun::done)) {
+      end(JobState.COMPLETE, now);
+    }
+  }
+
+  private boolean hasFailed(StepRun step) {
+    return !step.definition().lasting()
+        && !step.done()
+        && step.failures() >= definition.queue().attempts();
+  }
+
+  /** Ends the job because a caller wants it. */
+  public void cancel(Instant now) {
+    if (!isOver()) {
+      end(JobState.CANCELLED, now);
+    }
+  }
+
+  private void end(JobState last, Instant now) {
+    state = last;
+    overSince = Optional.of(now);
+  }
+
+  /** Returns the progress to store. */
+  public JobProgress progress() {
+    List<TaskProgress> tasks = new ArrayList<>();
+    if (!isOver()) {
+      for (StepRun step : steps()) {
+        step.tasks().forEach(task -> task.progress().ifPresent(tasks::add));
+      }
+    }
+    return new JobProgress(id(), state, tasks);
+  }
+
+  /** Takes in stored progress. */
+  public void restore(JobProgress progress, Instant now) {
+    state = progress.state();
+    shownState = progress.state();
+    if (state.isOver()) {
+      overSince = Optional.of(now);
+    }
+    for (TaskProgress task : progress.tasks()) {
+      step(new StepId(id(), task.occurrence(), task.step()))
+          .filter(step -> task.index() < step.tasks().size())
+          .ifPresent(step -> step.restore(task));
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JobId.java
@@ -0,0 +1,46 @@
+package org.hyssopport.engine.job;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Optional;
+
+/**
+ * Identifies a job; chosen by its caller.
+ *
+ * @param text sixteen hexadecimal digits
+ * @since 0.2
+ */
+public record JobId(@JsonValue String text) implements Comparable<JobId> {
+
+  private static final int DIGITS = 16;
+
+  /** Creates the value from its printed form. */
+  @JsonCreator
+  public JobId {
+    if (!isValid(text)) {
+      throw new IllegalArgumentException("a job id has 16 hexadecimal digits, but is " + text);
+    }
+  }
+
+  /** Returns the id, if the text is one. */
+  public static Optional<JobId> parse(String text) {
+    return isValid(text) ? Optional.of(new JobId(text)) : Optional.empty();
+  }
+
+  private static boolean isValid(String text) {
+    if (text == null || text.length() != DIGITS) {
+      return false;
+    }
+    return text.chars().allMatch(each -> Character.digit(each, 16) >= 0);
+  }
+
+  @Override
+  public int compareTo(JobId other) {
+    return text.compareTo(other.text);
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/StepRun.java
@@ -0,0 +1,117 @@
+package org.hyssopport.engine.job;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One step of one occurrence of a job, with its tasks.
+ *
+ * @since 0.2
+ */
+public final class StepRun {
+
+  private final Job job;
+  private final StepId id;
+  private final StepDefinition definition;
+  private final List<Task> tasks = new ArrayList<>();
+  private int doneTasks;
+
+  StepRun(Job job, StepId id, StepDefinition definition) {
+    this.job = job;
+    this.id = id;
+    this.definition = definition;
+    for (int index = 0; index < definition.tasks(); index++) {
+      tasks.add(Task.waiting(new TaskId(id, index)));
+    }
+  }
+
+  /** Returns the job. */
+  public Job job() {
+    return job;
+  }
+
+  /** Returns the step's id. */
+  public StepId id() {
+    return id;
+  }
+
+  /** Returns what the caller declared. */
+  public StepDefinition definition() {
+    return definition;
+  }
+
+  /** Returns its tasks. */
+  public List<Task> tasks() {
+    return tasks;
+  }
+
+  /** Returns one task. */
+  public Task task(int index) {
+    return tasks.get(index);
+  }
+
+  /** Tells whether all its tasks are done. */
+  public boolean done() {
+    return doneTasks == tasks.size();
+  }
+
+  /** Returns the tasks that have to be started. */
+  public List<Task> waiting() {
+    return tasks.stream().filter(Task::waits).toList();
+  }
+
+  /** Tells whether tasks may be placed: a gang only as a whole, others one by one. */
+  public boolean wantsPlacement() {
+    return definition.gang()
+        ? tasks.stream().allMatch(Task::waits)
+        : tasks.stream().anyMatch(Task::waits);
+  }
+
+  /** Returns a run number that is above all that were used. */
+  public int nextRun() {
+    return tasks.stream().mapToInt(Task::run).max().orElse(0) + 1;
+  }
+
+  /** Returns how often the step's worst task, or the gang, has failed. */
+  public int failures() {
+    return definition.gang()
+        ? tasks.stream().mapToInt(Task::failures).sum()
+        : tasks.stream().mapToInt(Task::failures).max().orElse(0);
+  }
+
+  /** Notes that a task is done; a gang is done as a whole. */
+  public void taskDone(Task task) {
+    if (definition.gang()) {
+      tasks.forEach(Task::markDone);
+      doneTasks = tasks.size();
+    } else if (!task.done()) {
+      task.markDone();
+      doneTasks++;
+    }
+  }
+
+  /** Notes that a run of a task failed. */
+  public void taskFailed(Task task) {
+    task.countFailure();
+  }
+
+  /** Notes a checkpoint; that of one member serves its whole gang. */
+  public void taskSaved(Task task, String checkpoint) {
+    if (definition.gang()) {
+      tasks.forEach(each -> each.saved(checkpoint));
+    } else {
+      task.saved(checkpoint);
+    }
+  }
+
+  void restore(TaskProgress progress) {
+    Task task = tasks.get(progress.index());
+    task.restore(progress);
+    doneTasks = (int) tasks.stream().filter(Task::done).count();
+  }
+
+  @Override
+  public String toString() {
+    return id.toString();
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/Candidate.java
@@ -0,0 +1,29 @@
+package org.hyssopport.engine.placement;
+
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.policy.Resources;
+
+/**
+ * A worker that a step's tasks may be placed on.
+ *
+ * @param worker the worker
+ * @param rack its rack
+ * @param room what is free on it
+ * @param mostTasks how many of the step's tasks it may still take by other limits than room
+ * @since 0.2
+ */
+public record Candidate(WorkerId worker, String rack, Resources room, int mostTasks) {
+
+  /** Returns how many tasks of a demand fit, at most so many as the limits allow. */
+  public int fitting(Resources demand) {
+    long fits = mostTasks;
+    fits = Math.min(fits, times(room.milliProcessors(), demand.milliProcessors()));
+    fits = Math.min(fits, times(room.memoryMebibytes(), demand.memoryMebibytes()));
+    fits = Math.min(fits, times(room.accelerators(), demand.accelerators()));
+    return (int) Math.max(0, fits);
+  }
+
+  private static long times(long room, long demand) {
+    return demand <= 0 ? Integer.MAX_VALUE : room / demand;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/Placer.java
@@ -0,0 +1,87 @@
+package org.hyssopport.engine.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.platform.WorkerId;
+
+/**
+ * Chooses workers for the tasks of a step.
+ *
+ * <p>The load pattern answered is tasks of eighteen processors in gangs beside tasks of a few: a
+ * small task goes where the least room is left, so that whole workers stay free for large ones. A
+ * gang is placed as a whole or not at all.
+ *
+ * @since 0.2
+ */
+public final class Placer {
+
+  private Placer() {}
+
+  /**
+   * Places as many of the tasks as can be placed now.
+   *
+   * @param step the step
+   * @param tasks how many tasks have to be placed
+   * @param candidates the workers that may take them
+   * @return a worker for each task that was placed; all or none for a gang
+   */
+  public static List<WorkerId> place(StepDefinition step, int tasks, List<Candidate> candidates) {
+    List<Candidate> fitting =
+        candidates.stream().filter(each -> each.fitting(step.demand()) > 0).toList();
+    if (step.sameRack() && tasks > 1) {
+      List<WorkerId> onOneRack = placeOnOneRack(step, tasks, fitting);
+      if (onOneRack.size() == tasks) {
+        return onOneRack;
+      }
+    }
+    List<WorkerId> placed = fill(step, tasks, fitting);
+    return step.gang() && placed.size() < tasks ? List.of() : placed;
+  }
+
+  private static List<WorkerId> placeOnOneRack(
+      StepDefinition step, int tasks, List<Candidate> candidates) {
+    Map<String, List<Candidate>> racks =
+        candidates.stream().collect(Collectors.groupingBy(Candidate::rack));
+    return racks.values().stream()
+        .map(rack -> fill(step, tasks, rack))
+        .filter(placed -> placed.size() == tasks)
+        .findFirst()
+        .orElse(List.of());
+  }
+
+  private static List<WorkerId> fill(StepDefinition step, int tasks, List<Candidate> candidates) {
+    List<Candidate> order = new ArrayList<>(candidates);
+    order.sort(bestFirst(step));
+    List<WorkerId> placed = new ArrayList<>();
+    for (Candidate candidate : order) {
+      int fitting = Math.min(candidate.fitting(step.demand()), tasks - placed.size());
+      for (int count = 0; count < fitting; count++) {
+        placed.add(candidate.worker());
+      }
+      if (placed.size() == tasks) {
+        break;
+      }
+    }
+    return placed;
+  }
+
+  private static Comparator<Candidate> bestFirst(StepDefinition step) {
+    return Comparator.comparing((Candidate each) -> !isPreferred(step, each))
+        .thenComparingLong(each -> leftOver(step, each))
+        .thenComparing(Candidate::worker);
+  }
+
+  private static boolean isPreferred(StepDefinition step, Candidate candidate) {
+    return step.preferredRack().map(candidate.rack()::equals).orElse(true);
+  }
+
+  /** Returns the processors that stay unused after as many tasks as fit. */
+  private static long leftOver(StepDefinition step, Candidate candidate) {
+    long demand = step.demand().milliProcessors();
+    return candidate.room().milliProcessors() - candidate.fitting(step.demand()) * demand;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decisions on order, placement and admission. */
+package org.hyssopport.engine.placement;
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -0,0 +1,402 @@
+package org.hyssopport.engine.scheduler;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopport.engine.advice.AdviceDesk;
+import org.hyssopport.engine.job.Job;
+import org.hyssopport.engine.job.JobDefinition;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.job.StepRun;
+import org.hyssopport.engine.job.Task;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
+import org.hyssopport.engine.worker.HeldRun;
+import org.hyssopport.engine.worker.RunPhase;
+import org.hyssopport.engine.worker.RunRef;
+import org.hyssopport.engine.worker.WorkerDescription;
+import org.hyssopport.engine.worker.WorkerHold;
+import org.hyssopport.policy.Resources;
+
+/**
+ * The scheduler of a cell during one term.
+ *
+ * <p>Takes events and returns effects; it does no input or output and reads no clock.
+ *
+ * @since 0.2
+ */
+public final class CellScheduler {
+
+  /** When a caller should come back after the store could not be reached; its usual outage. */
+  private static final Duration STORE_RETRY = Duration.ofSeconds(1);
+
+  private final SchedulerContext context;
+  private final JobBook jobs = new JobBook();
+  private final WorkerBook workers = new WorkerBook();
+  private final JournalQueue journal = new JournalQueue();
+  private final AdviceDesk desk = AdviceDesk.create();
+  private final RunKeeper runs;
+  private final PlacementPass placement;
+  private final WorkerLooks looks;
+  private boolean recovered;
+  private boolean storeWell = true;
+  private Instant storeAnsweredAt = Instant.MIN;
+
+  private CellScheduler(SchedulerSettings settings) {
+    context = new SchedulerContext(settings);
+    runs = new RunKeeper(context, jobs, workers, journal);
+    placement = new PlacementPass(context, jobs, workers, runs, desk);
+    looks = new WorkerLooks(context, workers, runs);
+  }
+
+  /** Returns a scheduler that has not read the journal yet. */
+  public static CellScheduler create(SchedulerSettings settings) {
+    return new CellScheduler(settings);
+  }
+
+  /**
+   * Takes in an event.
+   *
+   * @param event the event
+   * @param now the local steady clock
+   * @param timeOfDay the time of day
+   * @return what has to be done, in order
+   */
+  public List<SchedulerEffect> handle(SchedulerEvent event, Instant now, Instant timeOfDay) {
+    context.begin(now, timeOfDay);
+    take(event);
+    return context.takeEffects();
+  }
+
+  /**
+   * Decides on all that the events since the last call allow.
+   *
+   * @param now the local steady clock
+   * @param timeOfDay the time of day
+   * @return what has to be done, in order
+   */
+  public List<SchedulerEffect> decide(Instant now, Instant timeOfDay) {
+    context.begin(now, timeOfDay);
+    if (recovered) {
+      looks.lapse();
+      if (storeWell) {
+        placement.run();
+      }
+      placement.dispatchAdvice();
+      looks.send(mayExtendLeases());
+      journal.next().ifPresent(batch -> context.emit(new SchedulerEffect.Store(batch)));
+    }
+    return context.takeEffects();
+  }
+
+  /** Returns how many jobs of each queue have not started. */
+  public Map<String, Integer> pendingByQueue() {
+    return jobs.pendingByQueue();
+  }
+
+  /** Returns how many jobs are not over. */
+  public int activeJobs() {
+    return jobs.active().size();
+  }
+
+  /** Returns how many runs take room on workers. */
+  public int heldRuns() {
+    return workers.all().stream().mapToInt(worker -> worker.runs().size()).sum();
+  }
+
+  private boolean mayExtendLeases() {
+    return context.now().isBefore(storeAnsweredAt.plus(context.settings().storeSilence()));
+  }
+
+  private void take(SchedulerEvent event) {
+    if (event instanceof SchedulerEvent.Recovered known) {
+      recover(known);
+    } else if (event instanceof SchedulerEvent.CallerAsked asked) {
+      answer(asked);
+    } else if (event instanceof SchedulerEvent.JournalStored) {
+      storeAnsweredAt = context.now();
+      journal.stored();
+    } else if (event instanceof SchedulerEvent.StoreChanged changed) {
+      storeWell = changed.well();
+    } else if (event instanceof SchedulerEvent.StoreAnswered) {
+      storeAnsweredAt = context.now();
+    } else if (event instanceof SchedulerEvent.JournalSeen seen) {
+      seen.entries().forEach(this::takeForeign);
+    } else if (event instanceof SchedulerEvent.WorkersListed listed) {
+      list(listed.workers());
+    } else if (event instanceof SchedulerEvent.WorkerLooked looked) {
+      looks.answered(looked);
+    } else if (event instanceof SchedulerEvent.OrderAnswered order) {
+      orderAnswered(order);
+    } else if (event instanceof SchedulerEvent.AdviceAnswered answered) {
+      placement.adviceAnswered(answered.call(), answered.tickets());
+    } else if (event instanceof SchedulerEvent.MembersChanged changed) {
+      desk.setMembers(changed.members());
+    } else if (event instanceof SchedulerEvent.Ticked) {
+      tick();
+    }
+  }
+
+  private void tick() {
+    runs.resendStops();
+    Instant forgetBefore = context.now().minus(context.settings().retention());
+    List<JobId> old =
+        jobs.all().stream()
+            .filter(job -> job.overSince().filter(forgetBefore::isAfter).isPresent())
+            .map(Job::id)
+            .toList();
+    old.forEach(
+        id -> {
+          jobs.remove(id);
+          journal.forgotten(id);
+        });
+  }
+
+  private void recover(SchedulerEvent.Recovered known) {
+    storeAnsweredAt = context.now();
+    Map<JobId, JournalEntry.Progressed> progress = new HashMap<>();
+    Set<JobId> cancelled = new HashSet<>();
+    for (JournalEntry entry : known.entries()) {
+      if (entry instanceof JournalEntry.Accepted accepted) {
+        jobs.add(stored(accepted.definition()));
+      } else if (entry instanceof JournalEntry.Progressed progressed) {
+        progress.put(entry.job(), progressed);
+      } else if (entry instanceof JournalEntry.Cancelled) {
+        cancelled.add(entry.job());
+      }
+    }
+    progress.values().forEach(this::restore);
+    list(known.workers());
+    jobs.active().forEach(this::inherit);
+    recovered = true;
+    cancelled.forEach(this::cancelIfKnown);
+    context.decided(
+        "recovered",
+        "",
+        Map.of(
+            "jobs", jobs.all().size(),
+            "active", jobs.active().size(),
+            "workers", known.workers().size()));
+  }
+
+  private Job stored(JobDefinition definition) {
+    Duration age = Duration.between(definition.acceptedAt(), context.timeOfDay());
+    Job job = Job.accepted(definition, context.now().minus(age.isNegative() ? Duration.ZERO : age));
+    job.markAcceptanceStored();
+    return job;
+  }
+
+  private void restore(JournalEntry.Progressed entry) {
+    jobs.find(entry.job())
+        .ifPresent(
+            job -> {
+              job.restore(entry.progress(), context.now());
+              jobs.touched(job);
+            });
+  }
+
+  /** Counts the runs that an earlier scheduler assigned, until their workers are read. */
+  private void inherit(Job job) {
+    for (StepRun step : job.steps()) {
+      for (Task task : step.tasks()) {
+        task.worker().ifPresent(worker -> inherit(step, task, worker));
+      }
+    }
+  }
+
+  private void inherit(StepRun step, Task task, WorkerId id) {
+    RunRef ref = new RunRef(task.id(), task.run());
+    Optional<WorkerHold> known = workers.find(id);
+    if (known.isEmpty()) {
+      WorkerHold absent = absentWorker(step, task, id);
+      workers.put(absent);
+      known = Optional.of(absent);
+    }
+    known.get().add(HeldRun.of(ref, step, RunPhase.INHERITED, context.now()));
+  }
+
+  /** Stands for a worker that the live list does not name, until its last lease has lapsed. */
+  private WorkerHold absentWorker(StepRun step, Task task, WorkerId id) {
+    WorkerDescription description =
+        new WorkerDescription(
+            id,
+            task.incarnation(),
+            "",
+            step.job().definition().queue().service(),
+            new FailureDomain("unknown"),
+            Resources.NONE,
+            Set.of(),
+            "",
+            true);
+    WorkerHold absent = WorkerHold.unread(description, inheritedUntil(), context.now());
+    absent.unlist();
+    return absent;
+  }
+
+  private Instant inheritedUntil() {
+    return context.now().plus(context.settings().longestInheritedLease());
+  }
+
+  private void list(List<WorkerDescription> listed) {
+    Set<WorkerId> names = new HashSet<>();
+    for (WorkerDescription description : listed) {
+      names.add(description.id());
+      list(description);
+    }
+    for (WorkerHold worker : List.copyOf(workers.all())) {
+      if (!names.contains(worker.id())) {
+        worker.unlist();
+        if (worker.runs().isEmpty() && !worker.endsUnstored()) {
+          workers.remove(worker.id());
+        }
+      }
+    }
+  }
+
+  private void list(WorkerDescription description) {
+    Optional<WorkerHold> known = workers.find(description.id());
+    if (known.isPresent()) {
+      long difference = description.incarnation() - known.get().description().incarnation();
+      if (difference == 0) {
+        known.get().describe(description);
+        return;
+      }
+      if (difference < 0) {
+        return;
+      }
+    }
+    WorkerHold worker = WorkerHold.unread(description, inheritedUntil(), context.now());
+    workers.put(worker);
+    known.ifPresent(earlier -> runs.reborn(earlier, worker));
+  }
+
+  private void answer(SchedulerEvent.CallerAsked asked) {
+    if (!recovered) {
+      reply(asked.caller(), CallerAnswer.later(Verdict.UNAVAILABLE, STORE_RETRY));
+    } else if (asked.request() instanceof CallerRequest.Submit submit) {
+      submit(asked.caller(), submit.definition());
+    } else if (asked.request() instanceof CallerRequest.Cancel cancel) {
+      cancel(asked.caller(), cancel.job());
+    } else {
+      show(asked.caller(), asked.request().job());
+    }
+  }
+
+  private void reply(CallerRef caller, CallerAnswer answer) {
+    context.emit(new SchedulerEffect.Answer(caller, answer));
+  }
+
+  private void submit(CallerRef caller, JobDefinition definition) {
+    Optional<Job> known = jobs.find(definition.id());
+    if (known.isEmpty() && !storeWell) {
+      context.decided("rejected", definition.id(), Map.of("reason", "store not reached"));
+      reply(caller, CallerAnswer.later(Verdict.UNAVAILABLE, STORE_RETRY));
+      return;
+    }
+    if (known.isEmpty()) {
+      accept(definition);
+    }
+    Job job = jobs.find(definition.id()).orElseThrow();
+    if (job.acceptanceStored()) {
+      reply(caller, CallerAnswer.of(Verdict.ACCEPTED));
+    } else {
+      journal.afterStored(() -> reply(caller, CallerAnswer.of(Verdict.ACCEPTED)));
+    }
+  }
+
+  private void accept(JobDefinition definition) {
+    Job job = Job.accepted(definition, context.now());
+    jobs.add(job);
+    journal.accepted(job);
+    journal.afterStored(job::markAcceptanceStored);
+    context.decided(
+        "accepted",
+        definition.id(),
+        Map.of("queue", definition.queue().name(), "active", jobs.active().size()));
+  }
+
+  private void cancel(CallerRef caller, JobId id) {
+    Optional<Job> known = jobs.find(id);
+    if (known.isEmpty()) {
+      reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
+      return;
+    }
+    if (!known.get().isOver()) {
+      cancelIfKnown(id);
+    }
+    if (known.get().shownState().isOver()) {
+      reply(caller, CallerAnswer.of(Verdict.CANCELLED));
+    } else {
+      journal.afterStored(() -> reply(caller, CallerAnswer.of(Verdict.CANCELLED)));
+    }
+  }
+
+  private void cancelIfKnown(JobId id) {
+    jobs.find(id)
+        .filter(job -> !job.isOver())
+        .ifPresent(
+            job -> {
+              job.cancel(context.now());
+              runs.stopAll(job, "cancelled");
+              runs.changed(job);
+              context.decided("cancelled", id, Map.of());
+            });
+  }
+
+  private void show(CallerRef caller, JobId id) {
+    CallerAnswer answer =
+        jobs.find(id)
+            .map(job -> CallerAnswer.state(job.shownState()))
+            .orElseGet(() -> CallerAnswer.of(Verdict.UNKNOWN_JOB));
+    reply(caller, answer);
+  }
+
+  private void takeForeign(JournalEntry entry) {
+    if (entry instanceof JournalEntry.Accepted accepted) {
+      if (jobs.find(accepted.job()).isEmpty()) {
+        jobs.add(stored(accepted.definition()));
+        context.decided("accepted elsewhere", accepted.job(), Map.of());
+      }
+    } else if (entry instanceof JournalEntry.Cancelled) {
+      cancelIfKnown(entry.job());
+    }
+  }
+
+  private void orderAnswered(SchedulerEvent.OrderAnswered order) {
+    if (order.result() == OrderResult.FENCED) {
+      context.emit(new SchedulerEffect.StepDown("worker " + order.worker() + " refused our term"));
+      return;
+    }
+    Optional<WorkerHold> known = workers.find(order.worker(), order.incarnation());
+    if (known.isEmpty()) {
+      return;
+    }
+    WorkerHold worker = known.get();
+    if (order.result() == OrderResult.OTHER_INCARNATION) {
+      runs.lost(worker, "another incarnation answers");
+      worker.unlist();
+      return;
+    }
+    if (order.result() == OrderResult.NO_TICKET) {
+      placement.ticketRefused(order.run().task().step());
+    }
+    if (order.start()) {
+      runs.startAnswered(worker, order.run(), order.result());
+    } else {
+      runs.stopAnswered(worker, order.run(), order.result());
+    }
+  }
+
+  /** Tells whether a job is shown as over; for tests of what callers see. */
+  Optional<JobState> shownState(JobId id) {
+    return jobs.find(id).map(Job::shownState);
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobBook.java
@@ -0,0 +1,83 @@
+package org.hyssopport.engine.scheduler;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.job.Job;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.StepId;
+import org.hyssopport.engine.job.StepRun;
+
+/** All jobs that are known, and those that are not over. */
+final class JobBook {
+
+  private final Map<JobId, Job> jobs = new HashMap<>();
+  private final Map<JobId, Job> active = new LinkedHashMap<>();
+
+  void add(Job job) {
+    jobs.put(job.id(), job);
+    if (!job.isOver()) {
+      active.put(job.id(), job);
+    }
+  }
+
+  void remove(JobId id) {
+    jobs.remove(id);
+    active.remove(id);
+  }
+
+  Optional<Job> find(JobId id) {
+    return Optional.ofNullable(jobs.get(id));
+  }
+
+  Optional<StepRun> step(StepId id) {
+    return find(id.job()).flatMap(job -> job.step(id));
+  }
+
+  /** Notes that a job has changed. */
+  void touched(Job job) {
+    if (job.isOver()) {
+      active.remove(job.id());
+    }
+  }
+
+  Collection<Job> active() {
+    return active.values();
+  }
+
+  Collection<Job> all() {
+    return jobs.values();
+  }
+
+  /** Returns the steps whose turn has come and that have tasks to place. */
+  List<StepRun> ready(Instant timeOfDay) {
+    List<StepRun> ready = new ArrayList<>();
+    for (Job job : active.values()) {
+      if (job.acceptanceStored()) {
+        for (StepRun step : job.steps()) {
+          if (job.isTurnOf(step, timeOfDay) && step.wantsPlacement()) {
+            ready.add(step);
+          }
+        }
+      }
+    }
+    return ready;
+  }
+
+  /** Returns how many jobs of each queue have not started; timed jobs don't count. */
+  Map<String, Integer> pendingByQueue() {
+    Map<String, Integer> pending = new HashMap<>();
+    for (Job job : active.values()) {
+      if (job.state() == JobState.QUEUED && !job.definition().timed()) {
+        pending.merge(job.definition().queue().name(), 1, Integer::sum);
+      }
+    }
+    return pending;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementPass.java
@@ -0,0 +1,224 @@
+package org.hyssopport.engine.scheduler;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.hyssopport.engine.advice.AdviceCall;
+import org.hyssopport.engine.advice.AdviceDesk;
+import org.hyssopport.engine.advice.StepAdvice;
+import org.hyssopport.engine.advice.Ticket;
+import org.hyssopport.engine.job.AdvicePolicy;
+import org.hyssopport.engine.job.QueuePolicy;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.job.StepId;
+import org.hyssopport.engine.job.StepRun;
+import org.hyssopport.engine.job.Task;
+import org.hyssopport.engine.placement.Candidate;
+import org.hyssopport.engine.placement.Placer;
+import org.hyssopport.engine.placement.StepOrder;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.worker.WorkerHold;
+import org.hyssopport.policy.Resources;
+
+/** Places waiting tasks and asks for advice where it is missing. */
+final class PlacementPass {
+
+  /** A ticket must last through storing the assignment and the way of the order. */
+  private static final Duration TICKET_MARGIN = Duration.ofMillis(100);
+
+  /** The service's limit of workers in one call for advice. */
+  private static final int MOST_NAMED = 100;
+
+  private final SchedulerContext context;
+  private final JobBook jobs;
+  private final WorkerBook workers;
+  private final RunKeeper runs;
+  private final AdviceDesk desk;
+  private final Map<StepId, StepAdvice> advice = new HashMap<>();
+  private final Map<StepId, Map<WorkerId, Resources>> reserved = new HashMap<>();
+  private long lastCall;
+
+  PlacementPass(
+      SchedulerContext context, JobBook jobs, WorkerBook workers, RunKeeper runs, AdviceDesk desk) {
+    this.context = context;
+    this.jobs = jobs;
+    this.workers = workers;
+    this.runs = runs;
+    this.desk = desk;
+  }
+
+  /** Places what can be placed, the most urgent first. */
+  void run() {
+    List<StepRun> ready = jobs.ready(context.timeOfDay());
+    advice.keySet().removeIf(step -> isOver(step));
+    reserved.keySet().removeIf(step -> isOver(step));
+    ready.sort(StepOrder.at(context.now()));
+    for (StepRun step : ready) {
+      place(step);
+    }
+  }
+
+  private boolean isOver(StepId id) {
+    return jobs.step(id).map(step -> step.done() || step.job().isOver()).orElse(true);
+  }
+
+  private void place(StepRun step) {
+    Optional<AdvicePolicy> policy = step.job().definition().queue().advice();
+    List<Task> waiting = step.waiting();
+    StepAdvice known = advice.computeIfAbsent(step.id(), each -> StepAdvice.none());
+    Instant usable = context.now().plus(TICKET_MARGIN);
+    Predicate<WorkerHold> allowed =
+        policy.isEmpty() ? each -> true : each -> ticket(known, each, usable).isPresent();
+    List<WorkerId> chosen =
+        Placer.place(step.definition(), waiting.size(), candidates(step, allowed));
+    int run = step.nextRun();
+    for (int place = 0; place < chosen.size(); place++) {
+      WorkerHold worker = workers.find(chosen.get(place)).orElseThrow();
+      Optional<String> text = ticket(known, worker, usable).map(Ticket::text);
+      Task task = waiting.get(place);
+      int number = step.definition().gang() ? run : task.run() + 1;
+      runs.place(step, task, number, worker, text);
+    }
+    if (!chosen.isEmpty()) {
+      reserved.remove(step.id());
+      logPlacement(step, chosen);
+    }
+    if (policy.isPresent() && chosen.size() < waiting.size()) {
+      askForAdvice(step, waiting.size() - chosen.size(), known, policy.get());
+    }
+  }
+
+  private void logPlacement(StepRun step, List<WorkerId> chosen) {
+    context.decided(
+        "placed",
+        step.id(),
+        Map.of(
+            "tasks", chosen.size(),
+            "of", step.tasks().size(),
+            "slackMillis", Duration.between(context.now(), step.job().objective()).toMillis()));
+  }
+
+  private static Optional<Ticket> ticket(StepAdvice known, WorkerHold worker, Instant usable) {
+    return known.ticket(worker.id(), worker.description().incarnation(), usable);
+  }
+
+  private List<Candidate> candidates(StepRun step, Predicate<WorkerHold> allowed) {
+    List<Candidate> candidates = new ArrayList<>();
+    for (WorkerHold worker : workers.all()) {
+      if (takes(worker, step) && allowed.test(worker)) {
+        candidates.add(candidate(step, worker));
+      }
+    }
+    return candidates;
+  }
+
+  private boolean takes(WorkerHold worker, StepRun step) {
+    QueuePolicy queue = step.job().definition().queue();
+    return worker.takesWork()
+        && worker.health().takesWork(context.now(), worker.runs().size())
+        && worker.description().service().equals(queue.service())
+        && step.definition()
+            .requiredLabel()
+            .map(worker.description().labels()::contains)
+            .orElse(true);
+  }
+
+  private Candidate candidate(StepRun step, WorkerHold worker) {
+    StepDefinition definition = step.definition();
+    int most = Integer.MAX_VALUE;
+    if (definition.mostPerWorker() > 0) {
+      long there =
+          worker.runs().stream().filter(held -> held.ref().task().step().equals(step.id())).count();
+      most = (int) Math.max(0, definition.mostPerWorker() - there);
+    }
+    Resources room = worker.room();
+    for (Map.Entry<StepId, Map<WorkerId, Resources>> entry : reserved.entrySet()) {
+      if (!entry.getKey().equals(step.id())) {
+        room = room.minus(entry.getValue().getOrDefault(worker.id(), Resources.NONE));
+      }
+    }
+    return new Candidate(worker.id(), worker.description().rack(), room, most);
+  }
+
+  private void askForAdvice(StepRun step, int tasks, StepAdvice known, AdvicePolicy policy) {
+    if (desk.isPending(step.id())) {
+      return;
+    }
+    List<WorkerId> ask = workersToName(step, tasks, known);
+    if (ask.isEmpty()) {
+      return;
+    }
+    QueuePolicy queue = step.job().definition().queue();
+    lastCall++;
+    desk.request(
+        new AdviceCall(
+            lastCall,
+            step.id(),
+            ask,
+            queue.priority(),
+            step.job().objective(),
+            policy.callTime(ask.size())));
+    context.decided("advice wanted", step.id(), Map.of("call", lastCall, "workers", ask.size()));
+  }
+
+  private List<WorkerId> workersToName(StepRun step, int tasks, StepAdvice known) {
+    List<Candidate> good = candidates(step, worker -> known.isGood(worker.id()));
+    List<WorkerId> again = Placer.place(step.definition(), tasks, good);
+    if (!again.isEmpty()) {
+      reserve(step, again);
+      return again.stream().distinct().toList();
+    }
+    List<Candidate> unknown = candidates(step, worker -> !known.knows(worker.id()));
+    return unknown.stream()
+        .sorted(
+            Comparator.comparingInt((Candidate each) -> each.fitting(step.definition().demand()))
+                .reversed())
+        .limit(MOST_NAMED)
+        .map(Candidate::worker)
+        .toList();
+  }
+
+  /** Keeps the room for a gang until its tickets are renewed. */
+  private void reserve(StepRun step, List<WorkerId> chosen) {
+    if (step.definition().gang()) {
+      Map<WorkerId, Resources> room = new HashMap<>();
+      chosen.forEach(worker -> room.merge(worker, step.definition().demand(), Resources::plus));
+      reserved.put(step.id(), room);
+    }
+  }
+
+  /** Takes in an answer; an empty one means that the call has to be made again. */
+  void adviceAnswered(long call, Optional<Map<WorkerId, Ticket>> tickets) {
+    if (tickets.isEmpty()) {
+      desk.unanswered(call, context.now());
+      return;
+    }
+    desk.answered(call)
+        .ifPresent(
+            made -> {
+              if (!isOver(made.step())) {
+                advice
+                    .computeIfAbsent(made.step(), each -> StepAdvice.none())
+                    .learn(made.workers(), tickets.get());
+              }
+            });
+  }
+
+  /** Notes that a worker refused a ticket of the step. */
+  void ticketRefused(StepId step) {
+    Optional.ofNullable(advice.get(step)).ifPresent(each -> each.expireTickets(context.now()));
+  }
+
+  /** Hands out the calls for advice that a free member can make. */
+  void dispatchAdvice() {
+    for (AdviceDesk.Dispatch dispatch : desk.dispatch(context.now())) {
+      context.emit(new SchedulerEffect.Advise(dispatch.member(), dispatch.call()));
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunKeeper.java
@@ -0,0 +1,382 @@
+package org.hyssopport.engine.scheduler;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopport.engine.job.Job;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.StepRun;
+import org.hyssopport.engine.job.Task;
+import org.hyssopport.engine.worker.HeldRun;
+import org.hyssopport.engine.worker.RunEnd;
+import org.hyssopport.engine.worker.RunPhase;
+import org.hyssopport.engine.worker.RunRef;
+import org.hyssopport.engine.worker.WorkerHold;
+import org.hyssopport.engine.worker.WorkerReport;
+
+/**
+ * Carries runs through their life: stored, ordered, running, stopped, ended.
+ *
+ * <p>A task gets its next run only when its earlier one is proved over: its end is listed, the
+ * worker refused it, its stop was confirmed and it is listed no more, or its lease has lapsed.
+ */
+final class RunKeeper {
+
+  /** How often a start without an answer is sent again before the run is stopped. */
+  private static final int MOST_STARTS = 3;
+
+  /** How long after its placement a start is still sent again; half of the gang window. */
+  private static final Duration RESEND_WINDOW = Duration.ofMillis(1500);
+
+  /** How long a stop without an answer waits before it is sent again. */
+  private static final Duration STOP_RESEND = Duration.ofMillis(400);
+
+  private final SchedulerContext context;
+  private final JobBook jobs;
+  private final WorkerBook workers;
+  private final JournalQueue journal;
+
+  RunKeeper(SchedulerContext context, JobBook jobs, WorkerBook workers, JournalQueue journal) {
+    this.context = context;
+    this.jobs = jobs;
+    this.workers = workers;
+    this.journal = journal;
+  }
+
+  /** Assigns a run to a worker; its start is ordered once the assignment is stored. */
+  void place(StepRun step, Task task, int run, WorkerHold worker, Optional<String> ticket) {
+    task.assign(run, worker.id(), worker.description().incarnation());
+    RunRef ref = new RunRef(task.id(), run);
+    HeldRun held = HeldRun.of(ref, step, RunPhase.STORING, context.now());
+    held.useTicket(ticket);
+    worker.add(held);
+    journal.progressed(step.job());
+    journal.afterStored(() -> startStored(worker, held));
+  }
+
+  private void startStored(WorkerHold worker, HeldRun held) {
+    boolean current = worker.run(held.ref()).filter(held::equals).isPresent();
+    if (!current || held.phase() != RunPhase.STORING) {
+      return;
+    }
+    if (worker.takesWork()) {
+      sendStart(worker, held);
+    } else {
+      over(worker, held, "worker takes no work any more");
+    }
+  }
+
+  private void sendStart(WorkerHold worker, HeldRun held) {
+    StepRun step = held.step().orElseThrow();
+    Task task = step.task(held.ref().task().index());
+    long until = worker.leaseUntil(context.settings().lease(), context.now()).orElseThrow();
+    worker.granted(until);
+    held.startOrdered(context.now());
+    context.emit(
+        new SchedulerEffect.Start(
+            worker.description(),
+            held.ref(),
+            step.job().definition().payload(),
+            until,
+            task.checkpoint(),
+            held.ticket()));
+  }
+
+  /** Takes in the answer to a start. */
+  void startAnswered(WorkerHold worker, RunRef ref, OrderResult result) {
+    Optional<HeldRun> known = worker.run(ref);
+    if (known.isEmpty()) {
+      return;
+    }
+    HeldRun held = known.get();
+    switch (result) {
+      case DONE -> {
+        held.startConfirmed(context.now());
+        held.step().ifPresent(step -> started(step.job()));
+        worker.lookBy(context.now());
+      }
+      case UNANSWERED -> resendOrStop(worker, held);
+      case NOT_SENT -> {
+        worker.health().unreachable(context.now());
+        if (held.startsSent() == 1) {
+          refused(worker, held, result);
+        } else {
+          resendOrStop(worker, held);
+        }
+      }
+      case UNHEALTHY -> {
+        worker.health().unreachable(context.now());
+        refused(worker, held, result);
+      }
+      default -> refused(worker, held, result);
+    }
+  }
+
+  private void started(Job job) {
+    job.markStarted();
+    job.stateStored(job.state() == JobState.RUNNING ? JobState.RUNNING : job.shownState());
+  }
+
+  private void refused(WorkerHold worker, HeldRun held, OrderResult result) {
+    if (held.phase() == RunPhase.STOPPING && held.startsSent() > 1) {
+      return;
+    }
+    over(worker, held, "start refused: " + result);
+  }
+
+  private void resendOrStop(WorkerHold worker, HeldRun held) {
+    boolean inTime = context.now().isBefore(held.placedAt().plus(RESEND_WINDOW));
+    if (held.phase() == RunPhase.ORDERED && held.startsSent() < MOST_STARTS && inTime) {
+      sendStart(worker, held);
+    } else if (held.phase() == RunPhase.ORDERED) {
+      stop(worker, held, "start not answered");
+    }
+  }
+
+  /** Stops a run, wherever it stands. */
+  void stop(WorkerHold worker, HeldRun held, String reason) {
+    if (held.phase() == RunPhase.STORING) {
+      over(worker, held, reason);
+      return;
+    }
+    if (held.phase() == RunPhase.STOPPING) {
+      return;
+    }
+    context.decided("stop", held.ref().task(), Map.of("run", held.ref().run(), "reason", reason));
+    sendStop(worker, held);
+  }
+
+  private void sendStop(WorkerHold worker, HeldRun held) {
+    held.stopOrdered(context.now());
+    context.emit(new SchedulerEffect.Stop(worker.description(), held.ref()));
+  }
+
+  /** Takes in the answer to a stop. */
+  void stopAnswered(WorkerHold worker, RunRef ref, OrderResult result) {
+    if (result == OrderResult.DONE || result == OrderResult.OLD_RUN) {
+      worker.run(ref).ifPresent(held -> held.stopConfirmed(context.now()));
+      worker.lookBy(context.now());
+    }
+  }
+
+  /** Sends stops again that were not answered. */
+  void resendStops() {
+    Instant now = context.now();
+    for (WorkerHold worker : workers.all()) {
+      for (HeldRun held : worker.runs()) {
+        boolean due =
+            held.phase() == RunPhase.STOPPING
+                && held.stopConfirmedAt().isEmpty()
+                && now.isAfter(held.lastOrderAt().plus(STOP_RESEND));
+        if (due && !worker.description().address().isEmpty()) {
+          sendStop(worker, held);
+        }
+      }
+    }
+  }
+
+  /** Stops all runs of a job. */
+  void stopAll(Job job, String reason) {
+    job.steps().forEach(step -> stopStep(step, reason));
+  }
+
+  private void stopStep(StepRun step, String reason) {
+    for (Task task : step.tasks()) {
+      task.worker()
+          .flatMap(workers::find)
+          .ifPresent(
+              worker ->
+                  worker
+                      .run(new RunRef(task.id(), task.run()))
+                      .ifPresent(held -> stop(worker, held, reason)));
+    }
+  }
+
+  /** Takes in what a worker reports. */
+  void reported(WorkerHold worker, WorkerReport report, Instant askedAt) {
+    worker.answered(report.clockMillis(), context.now());
+    worker.markRead();
+    takeEnds(worker, report.ended());
+    Set<RunRef> listed = new HashSet<>();
+    for (WorkerReport.RunningRun running : report.running()) {
+      listed.add(running.run());
+      takeRunning(worker, running);
+    }
+    for (HeldRun held : List.copyOf(worker.runs())) {
+      if (!listed.contains(held.ref()) && held.goneIfMissing(askedAt)) {
+        over(worker, held, "not listed");
+      }
+    }
+  }
+
+  private void takeEnds(WorkerHold worker, List<WorkerReport.EndedRun> ended) {
+    long highest = worker.lastEnd();
+    for (WorkerReport.EndedRun end : ended) {
+      if (end.number() > worker.lastEnd()) {
+        highest = Math.max(highest, end.number());
+        takeEnd(worker, end);
+      }
+    }
+    if (highest > worker.lastEnd()) {
+      long upTo = highest;
+      worker.tookEnds(upTo);
+      journal.afterStored(
+          () -> {
+            worker.storedEnds(upTo);
+            worker.lookBy(context.now());
+          });
+    }
+  }
+
+  private void takeEnd(WorkerHold worker, WorkerReport.EndedRun end) {
+    RunRef ref = end.run();
+    worker.remove(ref);
+    Optional<StepRun> known = jobs.step(ref.task().step());
+    if (known.isEmpty() || ref.task().index() >= known.get().tasks().size()) {
+      return;
+    }
+    StepRun step = known.get();
+    Task task = step.task(ref.task().index());
+    boolean current =
+        task.run() == ref.run() && task.worker().filter(worker.id()::equals).isPresent();
+    if (end.end() == RunEnd.DONE) {
+      worker.health().succeeded();
+      done(step, task, current);
+    } else if (current) {
+      ended(worker, step, task, end);
+    }
+  }
+
+  private void done(StepRun step, Task task, boolean current) {
+    Job job = step.job();
+    if (job.isOver() || task.done()) {
+      return;
+    }
+    if (!current) {
+      stopStep(step, "an earlier run was done after all");
+    }
+    step.taskDone(task);
+    changed(job);
+  }
+
+  private void ended(WorkerHold worker, StepRun step, Task task, WorkerReport.EndedRun end) {
+    task.release();
+    step.taskSaved(task, end.checkpoint());
+    if (end.end() == RunEnd.FAILED) {
+      step.taskFailed(task);
+      worker.health().failed(context.now());
+    }
+    context.decided(
+        "run ended",
+        task.id(),
+        Map.of(
+            "run", task.run(),
+            "end", end.end(),
+            "worker", worker.id(),
+            "failures", task.failures()));
+    if (step.definition().gang()) {
+      stopStep(step, "another member ended");
+    }
+    changed(step.job());
+  }
+
+  /** Stores the progress of a job, and ends it if that is due. */
+  void changed(Job job) {
+    boolean before = job.isOver();
+    job.updateState(context.now());
+    if (job.isOver() && !before) {
+      context.decided("job over", job.id(), Map.of("state", job.state()));
+      stopAll(job, "job is over");
+    }
+    journal.progressed(job);
+    JobState state = job.state();
+    journal.afterStored(() -> job.stateStored(state));
+    jobs.touched(job);
+  }
+
+  private void takeRunning(WorkerHold worker, WorkerReport.RunningRun running) {
+    RunRef ref = running.run();
+    Optional<StepRun> step =
+        jobs.step(ref.task().step()).filter(each -> ref.task().index() < each.tasks().size());
+    if (worker.run(ref).isEmpty()) {
+      HeldRun stray =
+          step.map(known -> HeldRun.of(ref, known, RunPhase.RUNNING, context.now()))
+              .orElseGet(
+                  () -> HeldRun.unknown(ref, worker.description().capacity(), context.now()));
+      worker.add(stray);
+      stop(worker, stray, "nobody asks for it");
+      return;
+    }
+    HeldRun held = worker.run(ref).get();
+    held.startConfirmed(context.now());
+    step.ifPresent(known -> tookRunning(worker, held, known, running.checkpoint()));
+  }
+
+  private void tookRunning(WorkerHold worker, HeldRun held, StepRun step, String checkpoint) {
+    Task task = step.task(held.ref().task().index());
+    if (step.job().isOver() || task.run() != held.ref().run()) {
+      stop(worker, held, "job is over or the run is old");
+      return;
+    }
+    step.taskSaved(task, checkpoint);
+    started(step.job());
+  }
+
+  /** Ends all runs of a worker whose incarnation or lease is over. */
+  void lost(WorkerHold worker, String reason) {
+    for (HeldRun held : List.copyOf(worker.runs())) {
+      over(worker, held, reason);
+    }
+  }
+
+  /**
+   * Carries the runs of an earlier incarnation over to the next one, to be stopped there: an order
+   * that was on its way may have reached either of them.
+   */
+  void reborn(WorkerHold earlier, WorkerHold next) {
+    for (HeldRun held : List.copyOf(earlier.runs())) {
+      if (held.phase() == RunPhase.STORING || held.step().isEmpty()) {
+        over(earlier, held, "worker started anew");
+      } else {
+        earlier.remove(held.ref());
+        HeldRun carried =
+            HeldRun.of(held.ref(), held.step().get(), RunPhase.STOPPING, context.now());
+        next.add(carried);
+        sendStop(next, carried);
+      }
+    }
+  }
+
+  /** Ends the runs that were killed when the worker's lease lapsed. */
+  void lapsed(WorkerHold worker) {
+    for (HeldRun held : List.copyOf(worker.runs())) {
+      if (held.phase().mayRun()) {
+        over(worker, held, "lease lapsed");
+      }
+    }
+  }
+
+  /** Notes that a run is over without an end of its own. */
+  private void over(WorkerHold worker, HeldRun held, String reason) {
+    worker.remove(held.ref());
+    if (held.step().isEmpty()) {
+      return;
+    }
+    StepRun step = held.step().get();
+    Task task = step.task(held.ref().task().index());
+    if (task.run() != held.ref().run() || task.worker().isEmpty()) {
+      return;
+    }
+    task.release();
+    context.decided(
+        "run over", task.id(), Map.of("run", task.run(), "reason", reason, "worker", worker.id()));
+    jobs.touched(step.job());
+    if (step.definition().gang()) {
+      stopStep(step, "another member is gone: " + reason);
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerBook.java
@@ -0,0 +1,34 @@
+package org.hyssopport.engine.scheduler;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.worker.WorkerHold;
+
+/** The newest known incarnation of each worker. */
+final class WorkerBook {
+
+  private final Map<WorkerId, WorkerHold> workers = new LinkedHashMap<>();
+
+  void put(WorkerHold worker) {
+    workers.put(worker.id(), worker);
+  }
+
+  void remove(WorkerId id) {
+    workers.remove(id);
+  }
+
+  Optional<WorkerHold> find(WorkerId id) {
+    return Optional.ofNullable(workers.get(id));
+  }
+
+  Optional<WorkerHold> find(WorkerId id, long incarnation) {
+    return find(id).filter(each -> each.description().incarnation() == incarnation);
+  }
+
+  Collection<WorkerHold> all() {
+    return workers.values();
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerLooks.java
@@ -0,0 +1,123 @@
+package org.hyssopport.engine.scheduler;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.worker.WorkerHold;
+import org.hyssopport.engine.worker.WorkerReport;
+
+/** Decides when to look at each worker, and what its silence means. */
+final class WorkerLooks {
+
+  /** The longest wait for an end that the platform allows. */
+  private static final int LONGEST_WAIT_MILLIS = 2000;
+
+  /** How often a worker without runs is looked at, to keep its clock known within 0.1 s. */
+  private static final Duration IDLE_INTERVAL = Duration.ofSeconds(5);
+
+  /** The pause after a look that got no answer. */
+  private static final Duration SILENCE_PAUSE = Duration.ofMillis(300);
+
+  /** The pause while ends wait to be stored: each look would list them again at once. */
+  private static final Duration STORING_PAUSE = Duration.ofMillis(250);
+
+  private final SchedulerContext context;
+  private final WorkerBook workers;
+  private final RunKeeper runs;
+
+  WorkerLooks(SchedulerContext context, WorkerBook workers, RunKeeper runs) {
+    this.context = context;
+    this.workers = workers;
+    this.runs = runs;
+  }
+
+  /** Sends the looks that are due. */
+  void send(boolean mayExtendLeases) {
+    for (WorkerHold worker : workers.all()) {
+      boolean due =
+          !worker.lookInFlight()
+              && !worker.description().address().isEmpty()
+              && !context.now().isBefore(worker.nextLookAt());
+      if (due) {
+        send(worker, mayExtendLeases);
+      }
+    }
+  }
+
+  private void send(WorkerHold worker, boolean mayExtendLeases) {
+    boolean busy = !worker.runs().isEmpty();
+    Optional<Long> lease =
+        busy && mayExtendLeases && worker.read()
+            ? worker.leaseUntil(context.settings().lease(), context.now())
+            : Optional.empty();
+    lease.ifPresent(worker::granted);
+    boolean waits = busy && worker.read() && !worker.endsUnstored() && mayExtendLeases;
+    worker.lookSent(context.now().plus(IDLE_INTERVAL));
+    context.emit(
+        new SchedulerEffect.Look(
+            worker.description(), lease, worker.storedEnd(), waits ? LONGEST_WAIT_MILLIS : 0));
+  }
+
+  /** Takes in the answer to a look. */
+  void answered(SchedulerEvent.WorkerLooked looked) {
+    Optional<WorkerHold> known = workers.find(looked.worker(), looked.incarnation());
+    if (known.isEmpty()) {
+      return;
+    }
+    WorkerHold worker = known.get();
+    Instant now = context.now();
+    LookResult result = looked.result();
+    if (result instanceof LookResult.Fenced) {
+      context.emit(new SchedulerEffect.StepDown("worker " + worker.id() + " refused our term"));
+    } else if (result instanceof LookResult.OtherIncarnation) {
+      runs.lost(worker, "another incarnation answers");
+      worker.unlist();
+      worker.lookUnanswered(now.plus(IDLE_INTERVAL));
+    } else if (result instanceof LookResult.Reported reported) {
+      take(worker, reported.report(), looked);
+    } else {
+      worker.lookUnanswered(now.plus(SILENCE_PAUSE));
+      if (worker.unansweredLooks() == 1) {
+        context.decided(
+            "worker silent", "", Map.of("worker", worker.id(), "runs", worker.runs().size()));
+      }
+    }
+  }
+
+  private void take(WorkerHold worker, WorkerReport report, SchedulerEvent.WorkerLooked looked) {
+    if (report.incarnation() != looked.incarnation()) {
+      WorkerHold next =
+          WorkerHold.unread(
+              worker.description().startedAnew(report.incarnation()),
+              worker.lapsesAt(),
+              context.now());
+      workers.put(next);
+      runs.reborn(worker, next);
+      return;
+    }
+    boolean first = !worker.read();
+    worker.lookAnswered(looked.acknowledged());
+    runs.reported(worker, report, looked.askedAt());
+    boolean busy = !worker.runs().isEmpty();
+    if (worker.endsUnstored()) {
+      worker.lookBy(context.now().plus(STORING_PAUSE));
+    } else if (busy || first || worker.owesAcknowledgement()) {
+      worker.lookBy(context.now());
+    }
+  }
+
+  /** Ends the runs of workers whose lease has surely lapsed. */
+  void lapse() {
+    for (WorkerHold worker : List.copyOf(workers.all())) {
+      if (!worker.runs().isEmpty() && context.now().isAfter(worker.lapsesAt())) {
+        runs.lapsed(worker);
+      }
+      boolean forgotten = !worker.listed() && worker.runs().isEmpty() && !worker.lookInFlight();
+      if (forgotten) {
+        workers.remove(worker.id());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/HeldRun.java
@@ -0,0 +1,140 @@
+package org.hyssopport.engine.worker;
+
+import java.time.Instant;
+import java.util.Optional;
+import org.hyssopport.engine.job.StepRun;
+import org.hyssopport.policy.Resources;
+
+/**
+ * A run that takes room on a worker.
+ *
+ * @since 0.2
+ */
+public final class HeldRun {
+
+  private final RunRef ref;
+  private final Optional<StepRun> step;
+  private final Resources demand;
+  private final Instant placedAt;
+  private RunPhase phase;
+  private Optional<String> ticket = Optional.empty();
+  private Optional<Instant> startConfirmedAt = Optional.empty();
+  private Optional<Instant> stopConfirmedAt = Optional.empty();
+  private int startsSent;
+  private Instant lastOrderAt = Instant.MIN;
+
+  private HeldRun(
+      RunRef ref, Optional<StepRun> step, Resources demand, RunPhase phase, Instant placedAt) {
+    this.ref = ref;
+    this.step = step;
+    this.demand = demand;
+    this.phase = phase;
+    this.placedAt = placedAt;
+  }
+
+  /** Returns a run of a known step. */
+  public static HeldRun of(RunRef ref, StepRun step, RunPhase phase, Instant now) {
+    return new HeldRun(ref, Optional.of(step), step.definition().demand(), phase, now);
+  }
+
+  /** Returns a run that no known job asks for; it is taken to fill its worker. */
+  public static HeldRun unknown(RunRef ref, Resources demand, Instant now) {
+    return new HeldRun(ref, Optional.empty(), demand, RunPhase.RUNNING, now);
+  }
+
+  /** Returns the run. */
+  public RunRef ref() {
+    return ref;
+  }
+
+  /** Returns its step, unless no known job asks for it. */
+  public Optional<StepRun> step() {
+    return step;
+  }
+
+  /** Returns what it takes. */
+  public Resources demand() {
+    return demand;
+  }
+
+  /** Returns when it was placed. */
+  public Instant placedAt() {
+    return placedAt;
+  }
+
+  /** Returns how far it has got. */
+  public RunPhase phase() {
+    return phase;
+  }
+
+  /** Returns the ticket that its start carries. */
+  public Optional<String> ticket() {
+    return ticket;
+  }
+
+  /** Sets the ticket that its start carries. */
+  public void useTicket(Optional<String> newTicket) {
+    ticket = newTicket;
+  }
+
+  /** Returns when the worker confirmed its start. */
+  public Optional<Instant> startConfirmedAt() {
+    return startConfirmedAt;
+  }
+
+  /** Returns when the worker confirmed its stop. */
+  public Optional<Instant> stopConfirmedAt() {
+    return stopConfirmedAt;
+  }
+
+  /** Returns how many start orders were sent. */
+  public int startsSent() {
+    return startsSent;
+  }
+
+  /** Returns when the last order about it was sent. */
+  public Instant lastOrderAt() {
+    return lastOrderAt;
+  }
+
+  /** Notes that a start order leaves. */
+  public void startOrdered(Instant now) {
+    phase = RunPhase.ORDERED;
+    startsSent++;
+    lastOrderAt = now;
+  }
+
+  /** Notes that a stop order leaves. */
+  public void stopOrdered(Instant now) {
+    phase = RunPhase.STOPPING;
+    lastOrderAt = now;
+  }
+
+  /** Notes that the worker runs it. */
+  public void startConfirmed(Instant now) {
+    if (phase != RunPhase.STOPPING) {
+      phase = RunPhase.RUNNING;
+    }
+    if (startConfirmedAt.isEmpty()) {
+      startConfirmedAt = Optional.of(now);
+    }
+  }
+
+  /** Notes that the worker will not start it any more, or is stopping it. */
+  public void stopConfirmed(Instant now) {
+    stopConfirmedAt = Optional.of(now);
+  }
+
+  /**
+   * Tells whether a report that was asked for at an instant, and does not list the run, proves that
+   * the run is gone for good.
+   */
+  public boolean goneIfMissing(Instant askedAt) {
+    return switch (phase) {
+      case STORING, ORDERED -> false;
+      case INHERITED -> true;
+      case RUNNING -> startConfirmedAt.map(at -> at.isBefore(askedAt)).orElse(true);
+      case STOPPING -> stopConfirmedAt.map(at -> at.isBefore(askedAt)).orElse(false);
+    };
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerHealth.java
@@ -0,0 +1,76 @@
+package org.hyssopport.engine.worker;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Keeps work from a worker that fails what it starts.
+ *
+ * <p>Answers grey workers: they look healthy and fail every task within its run time. After a few
+ * failures in a row across different jobs the worker is left alone for a while that doubles, and is
+ * then tried again with one task at a time.
+ *
+ * @since 0.2
+ */
+public final class WorkerHealth {
+
+  /** Failures in a row before work is kept away; sound workers fail one task in twenty. */
+  private static final int CONSECUTIVE_FAILURES = 3;
+
+  /** The first time that work is kept away; a task of the short kind takes about as long. */
+  private static final Duration FIRST_PAUSE = Duration.ofSeconds(2);
+
+  /** The longest time that work is kept away. */
+  private static final Duration LONGEST_PAUSE = Duration.ofSeconds(16);
+
+  /** How long a worker gets no work after it could not be reached. */
+  private static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(500);
+
+  private int consecutiveFailures;
+  private Duration pause = FIRST_PAUSE;
+  private Instant pausedUntil = Instant.MIN;
+
+  private WorkerHealth() {}
+
+  static WorkerHealth create() {
+    return new WorkerHealth();
+  }
+
+  /** Notes a task that was done. */
+  public void succeeded() {
+    consecutiveFailures = 0;
+    pause = FIRST_PAUSE;
+  }
+
+  /** Notes a task that failed or a start that was refused as unhealthy. */
+  public void failed(Instant now) {
+    consecutiveFailures++;
+    if (consecutiveFailures >= CONSECUTIVE_FAILURES) {
+      pausedUntil = now.plus(pause);
+      pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : doubled();
+    }
+  }
+
+  /** Notes that the worker could not be reached, or turned an order away. */
+  public void unreachable(Instant now) {
+    Instant until = now.plus(UNREACHABLE_PAUSE);
+    pausedUntil = until.isAfter(pausedUntil) ? until : pausedUntil;
+  }
+
+  private Duration doubled() {
+    return pause.multipliedBy(2);
+  }
+
+  /** Returns how many runs failed in a row. */
+  public int consecutiveFailures() {
+    return consecutiveFailures;
+  }
+
+  /** Tells whether work may be placed, given how many runs the worker has already. */
+  public boolean takesWork(Instant now, int runsThere) {
+    if (now.isBefore(pausedUntil)) {
+      return false;
+    }
+    return consecutiveFailures < CONSECUTIVE_FAILURES || runsThere == 0;
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerHold.java
@@ -0,0 +1,253 @@
+package org.hyssopport.engine.worker;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.policy.Resources;
+
+/**
+ * One incarnation of a worker as the scheduler holds it: its lease and the ledger of its runs.
+ *
+ * @since 0.2
+ */
+public final class WorkerHold {
+
+  /** Covers the rounding of clocks to whole milliseconds and the way of one answer. */
+  private static final Duration LAPSE_MARGIN = Duration.ofMillis(100);
+
+  private final WorkerHealth health = WorkerHealth.create();
+  private final Map<RunRef, HeldRun> runs = new LinkedHashMap<>();
+  private WorkerDescription description;
+  private boolean listed = true;
+  private boolean read;
+  private Resources used = Resources.NONE;
+  private Optional<WorkerClock> clock = Optional.empty();
+  private long grantedUntil;
+  private Instant lapsesAt;
+  private long lastEnd;
+  private long storedEnd;
+  private long acknowledgedEnd;
+  private boolean lookInFlight;
+  private Instant nextLookAt = Instant.MIN;
+  private Instant lastAnswerAt;
+  private int unansweredLooks;
+
+  private WorkerHold(WorkerDescription description, Instant lapsesAt, Instant now) {
+    this.description = description;
+    this.lapsesAt = lapsesAt;
+    this.lastAnswerAt = now;
+  }
+
+  /**
+   * Returns a hold on a worker that was not read yet.
+   *
+   * @param description the worker
+   * @param inheritedUntil when the last lease that an earlier scheduler could have granted is over
+   * @param now the local instant
+   * @return the hold
+   */
+  public static WorkerHold unread(
+      WorkerDescription description, Instant inheritedUntil, Instant now) {
+    return new WorkerHold(description, inheritedUntil, now);
+  }
+
+  /** Returns the worker as it last described itself. */
+  public WorkerDescription description() {
+    return description;
+  }
+
+  /** Returns the worker's id. */
+  public WorkerId id() {
+    return description.id();
+  }
+
+  /** Takes a newer description of the same incarnation. */
+  public void describe(WorkerDescription newer) {
+    description = newer;
+    listed = true;
+  }
+
+  /** Notes that the live list does not name the worker any more. */
+  public void unlist() {
+    listed = false;
+  }
+
+  /** Tells whether the live list names it. */
+  public boolean listed() {
+    return listed;
+  }
+
+  /** Tells whether it was read since this scheduler's term began. */
+  public boolean read() {
+    return read;
+  }
+
+  /** Returns its health. */
+  public WorkerHealth health() {
+    return health;
+  }
+
+  /** Tells whether new work may be placed on it. */
+  public boolean takesWork() {
+    return read && listed && !description.draining() && unansweredLooks == 0;
+  }
+
+  /** Returns the room that no run takes. */
+  public Resources room() {
+    return description.capacity().minus(used);
+  }
+
+  /** Returns its runs. */
+  public Collection<HeldRun> runs() {
+    return runs.values();
+  }
+
+  /** Returns one of its runs. */
+  public Optional<HeldRun> run(RunRef ref) {
+    return Optional.ofNullable(runs.get(ref));
+  }
+
+  /** Takes room for a run. */
+  public void add(HeldRun run) {
+    if (runs.putIfAbsent(run.ref(), run) != null) {
+      throw new IllegalStateException("run is held already: " + run.ref());
+    }
+    used = used.plus(run.demand());
+  }
+
+  /** Gives back the room of a run; returns false if it is not held. */
+  public boolean remove(RunRef ref) {
+    HeldRun removed = runs.remove(ref);
+    if (removed == null) {
+      return false;
+    }
+    used = used.minus(removed.demand());
+    return true;
+  }
+
+  /** Returns and removes all runs. */
+  public List<HeldRun> removeAll() {
+    List<HeldRun> removed = new ArrayList<>(runs.values());
+    runs.clear();
+    used = Resources.NONE;
+    return removed;
+  }
+
+  /** Notes an answer that shows the worker's clock. */
+  public void answered(long clockMillis, Instant now) {
+    clock = Optional.of(WorkerClock.readAt(clockMillis, now));
+    lastAnswerAt = now;
+    unansweredLooks = 0;
+    updateLapse();
+  }
+
+  /** Returns when it last answered, or when it was first heard of. */
+  public Instant lastAnswerAt() {
+    return lastAnswerAt;
+  }
+
+  /** Notes that a report was read in this term. */
+  public void markRead() {
+    read = true;
+    updateLapse();
+  }
+
+  /** Returns the worker-clock reading until which runs may be leased, if its clock is known. */
+  public Optional<Long> leaseUntil(Duration length, Instant now) {
+    return clock.map(known -> known.at(now) + length.toMillis());
+  }
+
+  /** Notes that a lease until a worker-clock reading is on its way. */
+  public void granted(long until) {
+    grantedUntil = Math.max(grantedUntil, until);
+    updateLapse();
+  }
+
+  private void updateLapse() {
+    if (read && clock.isPresent()) {
+      lapsesAt = clock.get().surelyPast(grantedUntil).plus(LAPSE_MARGIN);
+    }
+  }
+
+  /** Returns when all that may run on it has surely ended, if it is not reached again. */
+  public Instant lapsesAt() {
+    return lapsesAt;
+  }
+
+  /** Returns the number of the last end that was taken in. */
+  public long lastEnd() {
+    return lastEnd;
+  }
+
+  /** Notes that the ends up to a number were taken in. */
+  public void tookEnds(long upTo) {
+    lastEnd = Math.max(lastEnd, upTo);
+  }
+
+  /** Notes that the ends up to a number are stored. */
+  public void storedEnds(long upTo) {
+    storedEnd = Math.max(storedEnd, upTo);
+  }
+
+  /** Returns the number up to which ends may be acknowledged. */
+  public long storedEnd() {
+    return storedEnd;
+  }
+
+  /** Tells whether the worker lists ends that could be acknowledged. */
+  public boolean owesAcknowledgement() {
+    return storedEnd > acknowledgedEnd;
+  }
+
+  /** Tells whether ends were taken in that are not stored yet. */
+  public boolean endsUnstored() {
+    return lastEnd > storedEnd;
+  }
+
+  /** Notes that a look leaves. */
+  public void lookSent(Instant nextAt) {
+    lookInFlight = true;
+    nextLookAt = nextAt;
+  }
+
+  /** Notes that a look came back. */
+  public void lookAnswered(long acknowledged) {
+    lookInFlight = false;
+    acknowledgedEnd = Math.max(acknowledgedEnd, acknowledged);
+  }
+
+  /** Notes that a look got no answer. */
+  public void lookUnanswered(Instant nextAt) {
+    lookInFlight = false;
+    unansweredLooks++;
+    nextLookAt = nextAt;
+  }
+
+  /** Returns how many looks in a row got no answer. */
+  public int unansweredLooks() {
+    return unansweredLooks;
+  }
+
+  /** Tells whether a look is on its way. */
+  public boolean lookInFlight() {
+    return lookInFlight;
+  }
+
+  /** Returns when the next look is due. */
+  public Instant nextLookAt() {
+    return nextLookAt;
+  }
+
+  /** Makes the next look due no later than an instant. */
+  public void lookBy(Instant instant) {
+    if (instant.isBefore(nextLookAt)) {
+      nextLookAt = instant;
+    }
+  }
+}
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/Ring.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/Ring.java
@@ -6,19 +6,20 @@
 import org.jctools.queues.MpscArrayQueue;
 
 /** A bounded ring from many threads to the one thread of a duty. */
-final class Ring<T> {
+public final class Ring<T> {
 
   private static final long FULL_PAUSE_NANOS = Duration.ofMillis(1).toNanos();
 
   private final MpscArrayQueue<T> queue;
   private volatile Thread parked;
 
-  Ring(int size) {
+  /** Creates a ring of a size. */
+  public Ring(int size) {
     this.queue = new MpscArrayQueue<>(size);
   }
 
   /** Adds an element; returns false if the ring is full. */
-  boolean offer(T element) {
+  public boolean offer(T element) {
     boolean added = queue.offer(element);
     Thread waiting = parked;
     if (waiting != null) {
@@ -28,18 +29,19 @@
   }
 
   /** Adds an element, waiting for room. */
-  void put(T element) {
+  public void put(T element) {
     while (!offer(element)) {
       LockSupport.parkNanos(FULL_PAUSE_NANOS);
     }
   }
 
-  Optional<T> poll() {
+  /** Takes an element, if there is one. */
+  public Optional<T> poll() {
     return Optional.ofNullable(queue.poll());
   }
 
   /** Takes an element, waiting for one; only the duty's own thread may call it. */
-  Optional<T> poll(long waitNanos) {
+  public Optional<T> poll(long waitNanos) {
     T element = queue.poll();
     if (element != null || waitNanos <= 0) {
       return Optional.ofNullable(element);
@@ -52,7 +54,8 @@
     return Optional.ofNullable(queue.poll());
   }
 
-  int size() {
+  /** Returns how many elements wait. */
+  public int size() {
     return queue.size();
   }
 }
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -0,0 +1,207 @@
+package org.hyssopport.launcher.cell;
+
+import com.sun.net.httpserver.HttpServer;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import org.hyssopport.engine.scheduler.CallerAnswer;
+import org.hyssopport.engine.scheduler.SchedulerSettings;
+import org.hyssopport.platform.AdviceGateway;
+import org.hyssopport.platform.CallerDoor;
+import org.hyssopport.platform.InstanceSettings;
+import org.hyssopport.platform.MetadataStore;
+import org.hyssopport.platform.WorkerGateway;
+import org.hyssopport.protocol.FramedLink;
+import org.hyssopport.protocol.MemberMessage;
+import org.hyssopport.protocol.MessagePackCodec;
+
+/**
+ * One running member of a cell.
+ *
+ * @since 0.2
+ * @see InstanceSettings
+ */
+public final class CellMember implements MemberPort {
+
+  /** Callers that wait for an answer at once; a scheduler answers within tens of milliseconds. */
+  private static final int CALLER_THREADS = 48;
+
+  private static final int CALLERS_WAITING = 512;
+
+  /** Orders in flight at once; a start takes a few milliseconds. */
+  private static final int ORDER_THREADS = 24;
+
+  private static final int ORDERS_WAITING = 4096;
+
+  /** One for each worker; a look waits up to two seconds for an end. */
+  private static final int MOST_LOOKS = 400;
+
+  /** Calls for advice of one instance are served one after the other. */
+  private static final int ADVICE_THREADS = 2;
+
+  /** How long new connections still come: the platform misses two answers of one second each. */
+  private static final Duration LEAVING_NOTICE = Duration.ofMillis(2500);
+
+  /** What is kept of the time to leave for the end of the process itself. */
+  private static final Duration LEAVING_RESERVE = Duration.ofMillis(800);
+
+  private static final long LEAVING_CHECK_MILLIS = 50;
+
+  private final CellParts parts;
+  private final MemberDesk desk;
+  private final SchedulerSeat seat;
+  private final FramedLink link;
+  private final MessagePackCodec<MemberMessage.Signed> codec =
+      MessagePackCodec.of(MemberMessage.Signed.class);
+  private final Optional<AdviceGateway> advice;
+  private final ExecutorService adviceCalls =
+      Threads.bounded("advice", ADVICE_THREADS, CALLERS_WAITING);
+  private final CallerDoor door;
+  private final HttpServer metricsServer;
+
+  private CellMember(InstanceSettings settings, PrintStream out) throws IOException {
+    SchedulerSettings scheduling =
+        SchedulerSettings.of(
+            settings.longestLease(),
+            settings.gangWindow(),
+            settings.stopLimit(),
+            settings.retention());
+    parts =
+        new CellParts(
+            settings,
+            scheduling,
+            MetadataStore.at(settings.storeAddress()),
+            WorkerGateway.create(),
+            new SteadyClock(),
+            DecisionLog.start(settings.name(), out),
+            new CellMetrics(),
+            Threads.bounded("orders", ORDER_THREADS, ORDERS_WAITING),
+            Threads.immediate("looks", MOST_LOOKS));
+    parts.log().write("start", started(settings));
+    advice = settings.adviceAddress().map(AdviceGateway::at);
+    ConfigurationDuty configuration = new ConfigurationDuty(parts.store(), parts.log());
+    seat = new SchedulerSeat(parts, this, this::answered);
+    desk = new MemberDesk(parts, configuration, seat);
+    link =
+        FramedLink.open(
+            new InetSocketAddress(settings.ip(), settings.peerPort()),
+            this::receive,
+            fault -> parts.log().write("peer link fault", Map.of("detail", fault)));
+    Threads.start("configuration", configuration);
+    Threads.start("membership", seat::joinAll);
+    Threads.start("presence", seat::showPresence);
+    ExecutorService callers = Threads.bounded("callers", CALLER_THREADS, CALLERS_WAITING);
+    door = CallerDoor.open(settings, desk, parts.clock(), callers);
+    metricsServer = parts.metrics().serve(settings.ip(), callers);
+  }
+
+  /**
+   * Starts a member.
+   *
+   * @param settings its settings
+   * @param out where its log goes
+   * @return the running member
+   * @throws IOException if an address can't be taken
+   */
+  public static CellMember start(InstanceSettings settings, PrintStream out) throws IOException {
+    return new CellMember(settings, out);
+  }
+
+  private static Map<String, Object> started(InstanceSettings settings) {
+    Map<String, Object> inputs = new HashMap<>();
+    inputs.put("callers", settings.callerAddress());
+    inputs.put("peers", settings.peerAddress());
+    inputs.put("store", settings.storeAddress());
+    inputs.put("failureDomain", settings.failureDomain());
+    return inputs;
+  }
+
+  /** Notes that the settings file was read again; the addresses of a running member stay. */
+  public void reloaded(Either<?, InstanceSettings> settings) {
+    parts.log().write("reload", Map.of("read", settings.isRight()));
+  }
+
+  private void answered(long number, CallerAnswer answer) {
+    desk.answered(number, answer);
+  }
+
+  @Override
+  public void send(String address, MemberMessage message) {
+    if (address.equals(parts.settings().peerAddress())) {
+      receive(address, message);
+    } else {
+      link.send(
+          address, codec.encode(new MemberMessage.Signed(parts.settings().peerAddress(), message)));
+    }
+  }
+
+  @Override
+  public void reconnect(String address) {
+    link.disconnect(address);
+  }
+
+  private void receive(byte[] payload) {
+    Either<String, MemberMessage.Signed> read = codec.decode(payload);
+    if (read.isLeft() || read.get().message() == null || read.get().sender() == null) {
+      parts
+          .log()
+          .write("message skipped", Map.of("detail", read.isLeft() ? read.getLeft() : "empty"));
+      return;
+    }
+    receive(read.get().sender(), read.get().message());
+  }
+
+  private void receive(String sender, MemberMessage message) {
+    if (message instanceof MemberMessage.Tell tell) {
+      desk.answered(tell.number(), tell.answer());
+    } else if (message instanceof MemberMessage.Advise advise) {
+      adviceCalls.execute(() -> advise(sender, advise));
+    } else {
+      seat.receive(sender, message);
+    }
+  }
+
+  private void advise(String sender, MemberMessage.Advise advise) {
+    Optional<AdviceGateway.Advice> answer =
+        advice.flatMap(
+            gateway ->
+                gateway.ask(
+                    advise.step(), advise.workers(), Duration.ofMillis(advise.withinMillis())));
+    Optional<Map<String, String>> tickets =
+        answer.map(
+            given -> {
+              Map<String, String> texts = new HashMap<>();
+              given.tickets().forEach((worker, text) -> texts.put(worker.name(), text));
+              return texts;
+            });
+    long valid = answer.map(AdviceGateway.Advice::validMillis).orElse(0L);
+    send(sender, new MemberMessage.Advised(advise.call(), tickets, valid));
+  }
+
+  /** Leaves: no new callers, all that is in flight is answered, the seat is given up. */
+  public void leave() {
+    Instant begun = parts.clock().instant();
+    parts.log().write("stop", Map.of("inFlight", desk.inFlight()));
+    desk.leave();
+    seat.leave();
+    Instant noticed = begun.plus(LEAVING_NOTICE);
+    Instant latest = begun.plus(parts.settings().grace()).minus(LEAVING_RESERVE);
+    while (parts.clock().instant().isBefore(latest)) {
+      boolean quiet = desk.inFlight() == 0 && parts.clock().instant().isAfter(noticed);
+      if (quiet || !Threads.pause(LEAVING_CHECK_MILLIS)) {
+        break;
+      }
+    }
+    door.close();
+    metricsServer.stop(0);
+    parts.log().write("stopped", Map.of("inFlight", desk.inFlight()));
+    Threads.pause(LEAVING_CHECK_MILLIS);
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationDuty.java
@@ -0,0 +1,91 @@
+package org.hyssopport.launcher.cell;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.configuration.CellConfiguration;
+import org.hyssopport.platform.ConfigurationEntry;
+import org.hyssopport.platform.MetadataStore;
+import org.hyssopport.platform.StoreFailure;
+import org.hyssopport.platform.StorePage;
+import org.hyssopport.platform.StoreRecord;
+
+/** Follows the configuration; what is in force only ever gets newer. */
+final class ConfigurationDuty implements Runnable {
+
+  /** Half of the shortest time within which a configuration has to be in force. */
+  private static final Duration WAIT = Duration.ofSeconds(1);
+
+  private static final long RETRY_MILLIS = 150;
+
+  private final MetadataStore store;
+  private final DecisionLog log;
+  private volatile Optional<CellConfiguration> current = Optional.empty();
+  private boolean reached = true;
+
+  ConfigurationDuty(MetadataStore store, DecisionLog log) {
+    this.store = store;
+    this.log = log;
+  }
+
+  Optional<CellConfiguration> current() {
+    return current;
+  }
+
+  @Override
+  public void run() {
+    Optional<Long> next = Optional.empty();
+    while (!Thread.currentThread().isInterrupted()) {
+      Either<StoreFailure, StorePage> page =
+          next.isEmpty()
+              ? store.newest(ConfigurationEntry.TOPIC)
+              : store.read(ConfigurationEntry.TOPIC, next.get(), WAIT);
+      note(page);
+      if (page.isRight()) {
+        take(page.get().records());
+        next = Optional.of(page.get().next());
+      } else {
+        boolean dropped = page.getLeft().kind() == StoreFailure.Kind.DROPPED;
+        next = dropped ? Optional.empty() : next;
+        Threads.pause(RETRY_MILLIS);
+      }
+    }
+  }
+
+  private void note(Either<StoreFailure, StorePage> page) {
+    if (page.isRight() != reached) {
+      reached = page.isRight();
+      log.write(
+          reached ? "dependency regained" : "dependency lost",
+          Map.of(
+              "dependency",
+              "store, for the configuration",
+              "detail",
+              page.isLeft() ? page.getLeft().detail() : ""));
+    }
+  }
+
+  private void take(List<StoreRecord> records) {
+    for (StoreRecord record : records) {
+      if (record.key().equals(ConfigurationEntry.KEY) && record.value().isPresent()) {
+        Optional<CellConfiguration> read = ConfigurationEntry.read(record.value().get());
+        if (read.isEmpty()) {
+          log.write("configuration skipped", Map.of("offset", record.offset()));
+        }
+        read.ifPresent(this::take);
+      }
+    }
+  }
+
+  private void take(CellConfiguration newer) {
+    boolean rises = current.map(known -> newer.version() > known.version()).orElse(true);
+    if (rises) {
+      current = Optional.of(newer);
+      log.write(
+          "configuration in force",
+          Map.of("version", newer.version(), "routes", newer.routes().size()));
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/DecisionLog.java
@@ -0,0 +1,119 @@
+package org.hyssopport.launcher.cell;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Writes one JSON object a line to standard output, and never blocks whoever has a line to write.
+ *
+ * <p>A line that finds the ring full is dropped and counted; the count is written once there is
+ * room again.
+ */
+final class DecisionLog {
+
+  /** Holds the lines of about ten seconds of a full scheduler. */
+  private static final int RING_SIZE = 4096;
+
+  /** Bounds the volume: the lines of a scheduler at the sites' crest, and half as many more. */
+  private static final int MOST_LINES_PER_SECOND = 600;
+
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private final String instance;
+  private final PrintStream out;
+  private final BlockingQueue<Line> ring = new ArrayBlockingQueue<>(RING_SIZE);
+  private final AtomicLong dropped = new AtomicLong();
+
+  private DecisionLog(String instance, PrintStream out) {
+    this.instance = instance;
+    this.out = out;
+  }
+
+  private record Line(Instant at, String event, String request, Map<String, Object> inputs) {}
+
+  /** Starts a log with a thread of its own. */
+  static DecisionLog start(String instance, PrintStream out) {
+    DecisionLog log = new DecisionLog(instance, out);
+    Thread thread = new Thread(log::writeAll, "decision-log");
+    thread.setDaemon(true);
+    thread.start();
+    return log;
+  }
+
+  /** Notes a decision that touches a request, or a change of what the process believes. */
+  void write(String event, String request, Map<String, Object> inputs) {
+    if (!ring.offer(new Line(Instant.now(), event, request, inputs))) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /** Notes something that touches no request. */
+  void write(String event, Map<String, Object> inputs) {
+    write(event, "", inputs);
+  }
+
+  private void writeAll() {
+    long second = 0;
+    int linesThisSecond = 0;
+    try {
+      while (true) {
+        Line line = ring.take();
+        long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
+        if (now != second) {
+          second = now;
+          linesThisSecond = 0;
+          reportDropped();
+        }
+        linesThisSecond++;
+        if (linesThisSecond <= MOST_LINES_PER_SECOND) {
+          print(line);
+        } else {
+          dropped.incrementAndGet();
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void reportDropped() {
+    long count = dropped.getAndSet(0);
+    if (count > 0) {
+      print(new Line(Instant.now(), "lines dropped", "", Map.of("count", count)));
+    }
+  }
+
+  private void print(Line line) {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator json = JSON.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeStringField("at", line.at().toString());
+      json.writeStringField("instance", instance);
+      json.writeStringField("event", line.event());
+      if (!line.request().isEmpty()) {
+        json.writeStringField("request", line.request());
+      }
+      for (Map.Entry<String, Object> input : line.inputs().entrySet()) {
+        if (input.getValue() instanceof Number number) {
+          json.writeNumberField(input.getKey(), number.longValue());
+        } else {
+          json.writeStringField(input.getKey(), String.valueOf(input.getValue()));
+        }
+      }
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException("a line in memory can always be written", e);
+    }
+    out.println(text);
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalCodec.java
@@ -0,0 +1,92 @@
+package org.hyssopport.launcher.cell;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.job.JobDefinition;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobProgress;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.platform.StoreRecord;
+import org.hyssopport.platform.StoreWrite;
+import org.hyssopport.protocol.MessagePackCodec;
+
+/** The form of journal entries in the store: a letter and the job's id as key. */
+final class JournalCodec {
+
+  /** The topic of the journal; the newest record of each key is kept. */
+  static final String TOPIC = "keyed.jobs";
+
+  private static final String ACCEPTED = "j";
+  private static final String PROGRESSED = "p";
+  private static final String CANCELLED = "c";
+  private static final byte[] MARK = {1};
+  private static final MessagePackCodec<JobDefinition> DEFINITIONS =
+      MessagePackCodec.of(JobDefinition.class);
+  private static final MessagePackCodec<JobProgress> PROGRESSES =
+      MessagePackCodec.of(JobProgress.class);
+
+  private JournalCodec() {}
+
+  static List<StoreWrite> encode(List<JournalEntry> entries) {
+    List<StoreWrite> writes = new ArrayList<>();
+    for (JournalEntry entry : entries) {
+      String id = entry.job().text();
+      if (entry instanceof JournalEntry.Accepted accepted) {
+        writes.add(write(ACCEPTED + id, DEFINITIONS.encode(accepted.definition())));
+      } else if (entry instanceof JournalEntry.Progressed progressed) {
+        writes.add(write(PROGRESSED + id, PROGRESSES.encode(progressed.progress())));
+      } else if (entry instanceof JournalEntry.Cancelled) {
+        writes.add(write(CANCELLED + id, MARK));
+      } else {
+        for (String kind : List.of(ACCEPTED, PROGRESSED, CANCELLED)) {
+          writes.add(new StoreWrite(kind + id, Optional.empty()));
+        }
+      }
+    }
+    return writes;
+  }
+
+  private static StoreWrite write(String key, byte[] value) {
+    return new StoreWrite(key, Optional.of(value));
+  }
+
+  /** Returns the entry of a record, nothing for a dropped key, or what is wrong with it. */
+  static Either<String, Optional<JournalEntry>> decode(StoreRecord record) {
+    if (record.value().isEmpty()) {
+      return Either.right(Optional.empty());
+    }
+    Optional<JobId> id =
+        record.key().isEmpty() ? Optional.empty() : JobId.parse(record.key().substring(1));
+    if (id.isEmpty()) {
+      return Either.left("key " + record.key() + " names no job");
+    }
+    byte[] value = record.value().get();
+    return switch (record.key().substring(0, 1)) {
+      case ACCEPTED ->
+          DEFINITIONS.decode(value).map(job -> Optional.of(new JournalEntry.Accepted(job)));
+      case PROGRESSED ->
+          PROGRESSES.decode(value).map(job -> Optional.of(new JournalEntry.Progressed(job)));
+      case CANCELLED -> Either.right(Optional.of(new JournalEntry.Cancelled(id.get())));
+      default -> Either.left("key " + record.key() + " is of no known kind");
+    };
+  }
+
+  /** Returns the entries of all records that can be read. */
+  static List<JournalEntry> decodeAll(List<StoreRecord> records, DecisionLog log) {
+    List<JournalEntry> entries = new ArrayList<>();
+    for (StoreRecord record : records) {
+      Either<String, Optional<JournalEntry>> decoded = decode(record);
+      if (decoded.isLeft()) {
+        log.write(
+            "journal record skipped",
+            Map.of("offset", record.offset(), "reason", decoded.getLeft()));
+      } else {
+        decoded.get().ifPresent(entries::add);
+      }
+    }
+    return entries;
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/LiveListDuty.java
@@ -0,0 +1,68 @@
+package org.hyssopport.launcher.cell;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.worker.WorkerDescription;
+import org.hyssopport.platform.LiveListEntry;
+import org.hyssopport.platform.MetadataStore;
+import org.hyssopport.platform.StoreFailure;
+import org.hyssopport.platform.StorePage;
+import org.hyssopport.platform.StoreRecord;
+
+/** Follows the live list of workers. */
+final class LiveListDuty {
+
+  private final MetadataStore store;
+  private final DecisionLog log;
+  private final Map<String, WorkerDescription> workers = new HashMap<>();
+  private Optional<Long> next = Optional.empty();
+
+  LiveListDuty(MetadataStore store, DecisionLog log) {
+    this.store = store;
+    this.log = log;
+  }
+
+  /** Reads on; returns whether the store answered. */
+  boolean refresh() {
+    Either<StoreFailure, StorePage> page =
+        next.isEmpty()
+            ? store.newest(LiveListEntry.TOPIC)
+            : store.read(LiveListEntry.TOPIC, next.get(), Duration.ZERO);
+    if (page.isLeft()) {
+      if (page.getLeft().kind() == StoreFailure.Kind.DROPPED) {
+        next = Optional.empty();
+      }
+      return false;
+    }
+    if (next.isEmpty()) {
+      workers.clear();
+    }
+    page.get().records().forEach(this::take);
+    next = Optional.of(page.get().next());
+    return true;
+  }
+
+  private void take(StoreRecord record) {
+    if (record.value().isEmpty()) {
+      workers.remove(record.key());
+      return;
+    }
+    Optional<WorkerDescription> worker = LiveListEntry.read(record.key(), record.value().get());
+    if (worker.isPresent()) {
+      workers.put(record.key(), worker.get());
+    } else {
+      workers.remove(record.key());
+      log.write("live list entry skipped", Map.of("key", record.key()));
+    }
+  }
+
+  /** Returns all workers that the list names. */
+  List<WorkerDescription> workers() {
+    return new ArrayList<>(workers.values());
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
@@ -0,0 +1,195 @@
+package org.hyssopport.launcher.cell;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hyssopport.engine.configuration.CellConfiguration;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.scheduler.CallerAnswer;
+import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
+import org.hyssopport.engine.scheduler.CallerRequest;
+import org.hyssopport.platform.CallerDesk;
+import org.hyssopport.platform.StoreFailure;
+
+/**
+ * Answers callers by asking the scheduler, and by the store if no scheduler can be reached.
+ *
+ * <p>What is accepted or cancelled without a scheduler is stored and taken up by the next one.
+ */
+final class MemberDesk implements CallerDesk {
+
+  /** How long the scheduler is waited for; the journal repeats a failed append meanwhile. */
+  private static final Duration ASK_WITHIN = Duration.ofMillis(1200);
+
+  /** What is kept of a caller's time for the way of the answer. */
+  private static final Duration ANSWER_RESERVE = Duration.ofMillis(150);
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final CellParts parts;
+  private final ConfigurationDuty configuration;
+  private final SchedulerLink scheduler;
+  private final AtomicLong lastNumber = new AtomicLong();
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final Map<Long, CompletableFuture<CallerAnswer>> asked = new ConcurrentHashMap<>();
+  private volatile boolean leaving;
+
+  MemberDesk(CellParts parts, ConfigurationDuty configuration, SchedulerLink scheduler) {
+    this.parts = parts;
+    this.configuration = configuration;
+    this.scheduler = scheduler;
+  }
+
+  /** The way to the scheduler, wherever it is. */
+  interface SchedulerLink {
+
+    /** Sends a request; returns false if no scheduler is known or it is overloaded. */
+    boolean ask(long number, CallerRequest request);
+
+    /** Returns the scheduler's count of jobs that have not started, if it was heard lately. */
+    Optional<Map<String, Integer>> pending();
+
+    /** Tells whether the scheduler or the store was heard lately. */
+    boolean connected();
+  }
+
+  @Override
+  public Optional<CellConfiguration> configuration() {
+    return configuration.current();
+  }
+
+  @Override
+  public boolean ready() {
+    return !leaving && configuration.current().isPresent() && scheduler.connected();
+  }
+
+  @Override
+  public boolean leaving() {
+    return leaving;
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  int inFlight() {
+    return inFlight.get();
+  }
+
+  @Override
+  public Optional<Integer> pending(String queue) {
+    return scheduler.pending().map(counts -> counts.getOrDefault(queue, 0));
+  }
+
+  /** Hands in an answer of the scheduler. */
+  void answered(long number, CallerAnswer answer) {
+    CompletableFuture<CallerAnswer> waiting = asked.remove(number);
+    if (waiting != null) {
+      waiting.complete(answer);
+    }
+  }
+
+  @Override
+  public CallerAnswer ask(CallerRequest request, Instant deadline) {
+    long begun = System.nanoTime();
+    inFlight.incrementAndGet();
+    try {
+      CallerAnswer answer = decide(request, deadline);
+      double seconds = (System.nanoTime() - begun) / 1e9;
+      String kind = request.getClass().getSimpleName();
+      parts.metrics().countAnswer(kind, answer.verdict().name(), seconds);
+      boolean plain = request instanceof CallerRequest.Show && answer.state().isPresent();
+      if (!plain) {
+        parts
+            .log()
+            .write(
+                "answered",
+                request.job().text(),
+                Map.of(
+                    "request",
+                    kind,
+                    "verdict",
+                    answer.verdict(),
+                    "millis",
+                    (long) (seconds * 1000)));
+      }
+      return answer;
+    } finally {
+      inFlight.decrementAndGet();
+    }
+  }
+
+  private CallerAnswer decide(CallerRequest request, Instant deadline) {
+    long number = lastNumber.incrementAndGet();
+    CompletableFuture<CallerAnswer> waiting = new CompletableFuture<>();
+    asked.put(number, waiting);
+    boolean sent = scheduler.ask(number, request);
+    try {
+      if (sent) {
+        return waiting.get(waitMillis(deadline), TimeUnit.MILLISECONDS);
+      }
+      return withoutScheduler(request, false);
+    } catch (TimeoutException e) {
+      return withoutScheduler(request, true);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("an answer is never completed with a failure", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return CallerAnswer.of(Verdict.UNCERTAIN);
+    } finally {
+      asked.remove(number);
+    }
+  }
+
+  private long waitMillis(Instant deadline) {
+    Duration left = Duration.between(parts.clock().instant(), deadline).minus(ANSWER_RESERVE);
+    return Math.max(1, Math.min(left.toMillis(), ASK_WITHIN.toMillis()));
+  }
+
+  /**
+   * Stores what the scheduler could not be asked for.
+   *
+   * @param request the request
+   * @param maybeTaken whether the scheduler may have taken it
+   */
+  private CallerAnswer withoutScheduler(CallerRequest request, boolean maybeTaken) {
+    if (request instanceof CallerRequest.Submit submit) {
+      return store(new JournalEntry.Accepted(submit.definition()), Verdict.ACCEPTED, maybeTaken);
+    }
+    if (request instanceof CallerRequest.Cancel cancel) {
+      return store(new JournalEntry.Cancelled(cancel.job()), Verdict.CANCELLED, true);
+    }
+    return CallerAnswer.later(Verdict.UNAVAILABLE, RETRY_AFTER);
+  }
+
+  private CallerAnswer store(JournalEntry entry, Verdict verdict, boolean maybeTaken) {
+    Either<StoreFailure, Long> result =
+        parts
+            .store()
+            .append(JournalCodec.TOPIC, JournalCodec.encode(List.of(entry)), Optional.empty());
+    String reason = maybeTaken ? "scheduler did not answer" : "no scheduler known";
+    parts
+        .log()
+        .write(
+            "stored without scheduler",
+            entry.job().text(),
+            Map.of("stored", result.isRight(), "reason", reason));
+    if (result.isRight()) {
+      return CallerAnswer.of(verdict);
+    }
+    boolean surelyNot = result.getLeft().kind() == StoreFailure.Kind.NOT_DONE && !maybeTaken;
+    return surelyNot
+        ? CallerAnswer.later(Verdict.UNAVAILABLE, RETRY_AFTER)
+        : CallerAnswer.of(Verdict.UNCERTAIN);
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
@@ -0,0 +1,238 @@
+package org.hyssopport.launcher.cell;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.hyssopport.engine.scheduler.CallerAnswer;
+import org.hyssopport.engine.scheduler.CallerRef;
+import org.hyssopport.engine.scheduler.CallerRequest;
+import org.hyssopport.platform.GroupView;
+import org.hyssopport.platform.StoreFailure;
+import org.hyssopport.platform.StorePage;
+import org.hyssopport.platform.StoreRecord;
+import org.hyssopport.protocol.MemberMessage;
+
+/**
+ * Knows who the scheduler is, and becomes it when this member has to see that there is one.
+ *
+ * <p>The store deals out one seat among the members. Its owner begins a term only if no scheduler
+ * is heard, or if the one that is heard has lost the store: so a seat that is dealt anew moves
+ * nothing.
+ */
+final class SchedulerSeat implements MemberDesk.SchedulerLink {
+
+  private static final String GROUP = "schedulers";
+  private static final String SEATS = "scheduler-seats";
+  private static final int SEAT = 0;
+
+  /** How often a member shows the store that it lives; a call counts a tenth there. */
+  private static final long JOIN_MILLIS = 400;
+
+  /** How long a member counts without joining: three joins lost, at least what the store takes. */
+  private static final Duration TIME_TO_LIVE = Duration.ofMillis(1400);
+
+  /** How often members and scheduler exchange signs of life. */
+  private static final long PRESENCE_MILLIS = 200;
+
+  /** A scheduler that was silent for so long is looked for anew; three messages lost. */
+  private static final Duration SILENCE = Duration.ofMillis(700);
+
+  /** How long a scheduler may go without the store before another member takes over. */
+  private static final Duration STORE_SILENCE = Duration.ofMillis(1500);
+
+  /** How long a member without scheduler and store counts as ready. */
+  private static final Duration READY_SILENCE = Duration.ofSeconds(3);
+
+  private final CellParts parts;
+  private final MemberPort members;
+  private final BiConsumer<Long, CallerAnswer> answers;
+  private final String self;
+  private volatile Optional<SchedulerTerm> own = Optional.empty();
+  private volatile Optional<String> known = Optional.empty();
+  private volatile long knownTerm;
+  private volatile Instant heardAt = Instant.MIN;
+  private volatile boolean heardWithStore;
+  private volatile Instant storeAnsweredAt = Instant.MIN;
+  private volatile Map<String, Integer> pending = Map.of();
+  private volatile boolean leaving;
+  private long generation;
+  private boolean storeReached = true;
+
+  SchedulerSeat(CellParts parts, MemberPort members, BiConsumer<Long, CallerAnswer> answers) {
+    this.parts = parts;
+    this.members = members;
+    this.answers = answers;
+    this.self = parts.settings().peerAddress();
+  }
+
+  private Optional<SchedulerTerm> leading() {
+    return own.filter(term -> !term.ended());
+  }
+
+  @Override
+  public boolean ask(long number, CallerRequest request) {
+    Optional<SchedulerTerm> term = leading();
+    if (term.isPresent()) {
+      return term.get().ask(new CallerRef(self, number), request);
+    }
+    if (!heardWithin(SILENCE) || known.isEmpty()) {
+      return false;
+    }
+    members.send(known.get(), new MemberMessage.Ask(number, request));
+    return true;
+  }
+
+  @Override
+  public Optional<Map<String, Integer>> pending() {
+    Optional<SchedulerTerm> term = leading();
+    if (term.isPresent()) {
+      return Optional.of(term.get().pending());
+    }
+    return heardWithin(READY_SILENCE) ? Optional.of(pending) : Optional.empty();
+  }
+
+  @Override
+  public boolean connected() {
+    return leading().isPresent()
+        || heardWithin(READY_SILENCE)
+        || parts.clock().instant().isBefore(storeAnsweredAt.plus(READY_SILENCE));
+  }
+
+  private boolean heardWithin(Duration span) {
+    return parts.clock().instant().isBefore(heardAt.plus(span));
+  }
+
+  /** Takes a message of a member. */
+  void receive(String sender, MemberMessage message) {
+    Optional<SchedulerTerm> term = leading();
+    if (message instanceof MemberMessage.Leading leads) {
+      heard(sender, leads);
+    } else if (message instanceof MemberMessage.Present present && term.isPresent()) {
+      term.get().present(sender, present.leaving());
+      boolean storeWell = term.get().storeAnsweredWithin(STORE_SILENCE);
+      members.send(
+          sender, new MemberMessage.Leading(term.get().term(), storeWell, term.get().pending()));
+    } else if (message instanceof MemberMessage.Ask ask && term.isPresent()) {
+      boolean taken = term.get().ask(new CallerRef(sender, ask.number()), ask.request());
+      if (!taken) {
+        members.send(
+            sender,
+            new MemberMessage.Tell(
+                ask.number(),
+                CallerAnswer.later(CallerAnswer.Verdict.UNAVAILABLE, Duration.ofSeconds(1))));
+      }
+    } else if (message instanceof MemberMessage.Advised advised && term.isPresent()) {
+      term.get().advised(advised);
+    }
+  }
+
+  private void heard(String sender, MemberMessage.Leading leads) {
+    if (leads.term() < knownTerm || leading().isPresent()) {
+      return;
+    }
+    if (leads.term() > knownTerm) {
+      parts.log().write("scheduler heard", Map.of("term", leads.term(), "address", sender));
+    }
+    knownTerm = leads.term();
+    known = Optional.of(sender);
+    heardAt = parts.clock().instant();
+    heardWithStore = leads.storeWell();
+    pending = leads.pending();
+  }
+
+  /** Keeps this member in the group, and begins a term when that falls to it. */
+  void joinAll() {
+    while (!leaving) {
+      join();
+      if (!Threads.pause(JOIN_MILLIS)) {
+        return;
+      }
+    }
+  }
+
+  private void join() {
+    Duration shortest = parts.settings().shortestMembership();
+    Duration timeToLive = shortest.compareTo(TIME_TO_LIVE) > 0 ? shortest : TIME_TO_LIVE;
+    Either<StoreFailure, GroupView> view =
+        parts.store().join(GROUP, self, SEATS, timeToLive, generation);
+    noteStore(view);
+    if (view.isLeft()) {
+      return;
+    }
+    storeAnsweredAt = parts.clock().instant();
+    leading().ifPresent(SchedulerTerm::storeAnswered);
+    generation = view.get().generation();
+    boolean served = heardWithin(SILENCE) && heardWithStore;
+    if (view.get().partitions().contains(SEAT) && leading().isEmpty() && !served && !leaving) {
+      beginTerm();
+    }
+  }
+
+  private void noteStore(Either<StoreFailure, GroupView> view) {
+    if (view.isRight() != storeReached) {
+      storeReached = view.isRight();
+      parts
+          .log()
+          .write(
+              storeReached ? "dependency regained" : "dependency lost",
+              Map.of(
+                  "dependency",
+                  "store, for membership",
+                  "detail",
+                  view.isLeft() ? view.getLeft().detail() : ""));
+    }
+  }
+
+  private void beginTerm() {
+    own = SchedulerTerm.begin(parts, members, answers);
+    own.ifPresent(term -> knownTerm = Math.max(knownTerm, term.term()));
+  }
+
+  /** Shows the scheduler that this member lives, and looks for it when it is silent. */
+  void showPresence() {
+    while (Threads.pause(PRESENCE_MILLIS)) {
+      if (leading().isPresent()) {
+        continue;
+      }
+      if (!heardWithin(SILENCE)) {
+        lookForScheduler();
+      }
+      known.ifPresent(
+          address ->
+              members.send(
+                  address, new MemberMessage.Present(parts.settings().failureDomain(), leaving)));
+    }
+  }
+
+  private void lookForScheduler() {
+    known.ifPresent(members::reconnect);
+    Either<StoreFailure, StorePage> newest = parts.store().newest(SchedulerTerm.TOPIC);
+    if (newest.isLeft()) {
+      return;
+    }
+    for (StoreRecord record : newest.get().records()) {
+      if (record.key().equals(SchedulerTerm.KEY) && record.value().isPresent()) {
+        known = Optional.of(new String(record.value().get(), StandardCharsets.UTF_8));
+      }
+    }
+    known = known.filter(address -> !address.equals(self));
+  }
+
+  /** Gives the seat up and ends an own term. */
+  void leave() {
+    leaving = true;
+    known.ifPresent(
+        address ->
+            members.send(
+                address, new MemberMessage.Present(parts.settings().failureDomain(), true)));
+    leading().ifPresent(term -> term.end("leaving"));
+    Either<StoreFailure, ?> left = parts.store().leave(GROUP, self);
+    if (left.isLeft()) {
+      parts.log().write("seat not given up", Map.of("detail", left.getLeft().detail()));
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -0,0 +1,389 @@
+package org.hyssopport.launcher.cell;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import org.hyssopport.engine.advice.Ticket;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.scheduler.CallerAnswer;
+import org.hyssopport.engine.scheduler.CallerRef;
+import org.hyssopport.engine.scheduler.CallerRequest;
+import org.hyssopport.engine.scheduler.CellScheduler;
+import org.hyssopport.engine.scheduler.LookResult;
+import org.hyssopport.engine.scheduler.OrderResult;
+import org.hyssopport.engine.scheduler.SchedulerEffect;
+import org.hyssopport.engine.scheduler.SchedulerEvent;
+import org.hyssopport.engine.worker.RunRef;
+import org.hyssopport.engine.worker.WorkerDescription;
+import org.hyssopport.launcher.Ring;
+import org.hyssopport.platform.StoreFailure;
+import org.hyssopport.platform.StorePage;
+import org.hyssopport.platform.StoreWrite;
+import org.hyssopport.platform.WorkerGateway;
+import org.hyssopport.protocol.MemberMessage;
+
+/** One term of this member as the scheduler: the threads around the pure scheduler. */
+final class SchedulerTerm {
+
+  /** The topic in which terms are recorded; a record's offset gives its term. */
+  static final String TOPIC = "keyed.scheduler";
+
+  static final String KEY = "scheduler";
+
+  private static final int RING_SIZE = 1 << 15;
+  private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
+  private static final int MOST_EVENTS_AT_ONCE = 256;
+
+  /** How often entries of other instances are looked for; they write only without a scheduler. */
+  private static final long FOLLOW_MILLIS = 250;
+
+  /** How often the live list is read; a quarter of the time in which a drain must be seen. */
+  private static final long LIVE_LIST_MILLIS = 500;
+
+  /** A member that was silent for so long makes no calls for advice; five messages lost. */
+  private static final Duration MEMBER_SILENCE = Duration.ofSeconds(1);
+
+  /** The time that an answer on advice may spend on its way before its ticket's life counts. */
+  private static final Duration TICKET_TRANSIT = Duration.ofMillis(20);
+
+  /** What a call for advice may take beyond the service's own time; then it is made again. */
+  private static final long ADVICE_ALLOWANCE_MILLIS = 1000;
+
+  private final CellParts parts;
+  private final String self;
+  private final long term;
+  private final MemberPort members;
+  private final BiConsumer<Long, CallerAnswer> localAnswers;
+  private final CellScheduler scheduler;
+  private final Ring<SchedulerEvent> ring = new Ring<>(RING_SIZE);
+  private final AtomicLong followedUpTo = new AtomicLong();
+  private final JournalWriter journal;
+  private final LiveListDuty liveList;
+  private final Map<String, Instant> presentMembers = new ConcurrentHashMap<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private Set<String> knownMembers = Set.of();
+  private volatile boolean ended;
+  private volatile boolean recovered;
+  private volatile Map<String, Integer> pending = Map.of();
+  private volatile Instant storeAnsweredAt;
+
+  /** The incarnation of each listed worker, to which a new ticket belongs. */
+  private volatile Map<WorkerId, Long> incarnations = Map.of();
+
+  private SchedulerTerm(
+      CellParts parts, long term, MemberPort members, BiConsumer<Long, CallerAnswer> answers) {
+    this.parts = parts;
+    this.self = parts.settings().peerAddress();
+    this.term = term;
+    this.members = members;
+    this.localAnswers = answers;
+    this.scheduler = CellScheduler.create(parts.scheduling());
+    this.journal = new JournalWriter(parts, term, followedUpTo, this::offer, this::end);
+    this.liveList = new LiveListDuty(parts.store(), parts.log());
+    this.storeAnsweredAt = parts.clock().instant();
+  }
+
+  /**
+   * Begins a term; returns nothing if the store does not let it.
+   *
+   * @param parts what the duties share
+   * @param members sends messages to members
+   * @param answers takes the answers to this member's own callers
+   * @return the term
+   */
+  static Optional<SchedulerTerm> begin(
+      CellParts parts, MemberPort members, BiConsumer<Long, CallerAnswer> answers) {
+    byte[] address = parts.settings().peerAddress().getBytes(StandardCharsets.UTF_8);
+    Either<StoreFailure, Long> offset =
+        parts
+            .store()
+            .append(TOPIC, List.of(new StoreWrite(KEY, Optional.of(address))), Optional.empty());
+    if (offset.isLeft()) {
+      parts.log().write("term not begun", Map.of("detail", offset.getLeft().detail()));
+      return Optional.empty();
+    }
+    SchedulerTerm begun = new SchedulerTerm(parts, offset.get() + 1, members, answers);
+    return begun.recover() ? Optional.of(begun) : Optional.empty();
+  }
+
+  private boolean recover() {
+    if (!journal.fence()) {
+      return false;
+    }
+    Either<StoreFailure, StorePage> entries = parts.store().newest(JournalCodec.TOPIC);
+    if (entries.isLeft() || !liveList.refresh()) {
+      parts.log().write("journal not read", Map.of("term", term));
+      return false;
+    }
+    followedUpTo.set(entries.get().next());
+    parts.log().write("term begun", Map.of("term", term, "journal", entries.get().next()));
+    ring.put(
+        new SchedulerEvent.Recovered(
+            JournalCodec.decodeAll(entries.get().records(), parts.log()), liveList.workers()));
+    threads.add(Threads.start("scheduler", this::decideAll));
+    threads.add(Threads.start("journal-writer", journal::run));
+    threads.add(Threads.start("journal-follower", this::followJournal));
+    threads.add(Threads.start("live-list", this::followLiveList));
+    return true;
+  }
+
+  long term() {
+    return term;
+  }
+
+  boolean ended() {
+    return ended;
+  }
+
+  /** Tells whether the store has answered lately. */
+  boolean storeAnsweredWithin(Duration span) {
+    return parts.clock().instant().isBefore(storeAnsweredAt.plus(span));
+  }
+
+  /** Notes that the store has answered. */
+  void storeAnswered() {
+    storeAnsweredAt = parts.clock().instant();
+    offer(new SchedulerEvent.StoreAnswered());
+  }
+
+  /** Ends the term; running work goes on under its leases. */
+  void end(String reason) {
+    if (!ended) {
+      ended = true;
+      parts.log().write("term ended", Map.of("term", term, "reason", reason));
+      threads.forEach(Thread::interrupt);
+    }
+  }
+
+  /** Takes an event of a caller; returns false if the scheduler is overloaded. */
+  boolean ask(CallerRef caller, CallerRequest request) {
+    return recovered && !ended && ring.offer(new SchedulerEvent.CallerAsked(caller, request));
+  }
+
+  /** Notes that a member is there. */
+  void present(String member, boolean leaving) {
+    if (leaving) {
+      presentMembers.remove(member);
+    } else {
+      presentMembers.put(member, parts.clock().instant());
+    }
+  }
+
+  /** Takes an answer on advice. */
+  void advised(MemberMessage.Advised advised) {
+    Instant expiresAt =
+        parts.clock().instant().plusMillis(advised.validMillis()).minus(TICKET_TRANSIT);
+    offer(
+        new SchedulerEvent.AdviceAnswered(
+            advised.call(), advised.tickets().map(each -> tickets(each, expiresAt))));
+  }
+
+  private Map<WorkerId, Ticket> tickets(Map<String, String> texts, Instant expiresAt) {
+    Map<WorkerId, Ticket> tickets = new HashMap<>();
+    Map<WorkerId, Long> listed = incarnations;
+    texts.forEach(
+        (name, text) -> {
+          WorkerId worker = new WorkerId(name);
+          tickets.put(worker, new Ticket(text, listed.getOrDefault(worker, 0L), expiresAt));
+        });
+    return tickets;
+  }
+
+  Map<String, Integer> pending() {
+    return pending;
+  }
+
+  private void offer(SchedulerEvent event) {
+    if (!ended) {
+      ring.put(event);
+    }
+  }
+
+  private void decideAll() {
+    Instant nextTick = parts.clock().instant();
+    while (!ended) {
+      long wait = Duration.between(parts.clock().instant(), nextTick).toNanos();
+      Optional<SchedulerEvent> event = ring.poll(Math.max(1, wait));
+      int handled = 0;
+      while (event.isPresent() && handled < MOST_EVENTS_AT_ONCE) {
+        execute(scheduler.handle(event.get(), parts.clock().instant(), Instant.now()));
+        handled++;
+        event = ring.poll();
+      }
+      event.ifPresent(
+          each -> execute(scheduler.handle(each, parts.clock().instant(), Instant.now())));
+      if (!parts.clock().instant().isBefore(nextTick)) {
+        nextTick = parts.clock().instant().plus(TICK_INTERVAL);
+        tick();
+      }
+      execute(scheduler.decide(parts.clock().instant(), Instant.now()));
+      recovered = true;
+    }
+  }
+
+  private void tick() {
+    execute(scheduler.handle(new SchedulerEvent.Ticked(), parts.clock().instant(), Instant.now()));
+    pending = scheduler.pendingByQueue();
+    Instant silentBefore = parts.clock().instant().minus(MEMBER_SILENCE);
+    presentMembers.values().removeIf(silentBefore::isAfter);
+    Set<String> now = new HashSet<>(presentMembers.keySet());
+    now.add(self);
+    if (!now.equals(knownMembers)) {
+      parts.log().write("members changed", Map.of("members", now.size(), "term", term));
+      knownMembers = now;
+      execute(
+          scheduler.handle(
+              new SchedulerEvent.MembersChanged(now), parts.clock().instant(), Instant.now()));
+    }
+  }
+
+  private void execute(List<SchedulerEffect> effects) {
+    effects.forEach(this::execute);
+  }
+
+  private void execute(SchedulerEffect effect) {
+    if (effect instanceof SchedulerEffect.Store store) {
+      journal.offer(store.entries());
+    } else if (effect instanceof SchedulerEffect.Answer answer) {
+      answer(answer);
+    } else if (effect instanceof SchedulerEffect.Look look) {
+      parts.looks().execute(() -> look(look));
+    } else if (effect instanceof SchedulerEffect.Start start) {
+      order(start.worker(), start.run(), true, () -> parts.workers().start(start, term));
+    } else if (effect instanceof SchedulerEffect.Stop stop) {
+      order(stop.worker(), stop.run(), false, () -> parts.workers().stop(stop, term));
+    } else if (effect instanceof SchedulerEffect.Advise advise) {
+      long within = advise.call().expected().toMillis() + ADVICE_ALLOWANCE_MILLIS;
+      members.send(
+          advise.member(),
+          new MemberMessage.Advise(
+              advise.call().number(), advise.call().step(), advise.call().workers(), within));
+    } else if (effect instanceof SchedulerEffect.StepDown down) {
+      end(down.reason());
+    } else if (effect instanceof SchedulerEffect.Decided decided) {
+      parts.metrics().countDecision(decided.decision());
+      parts.log().write(decided.decision(), decided.request(), decided.inputs());
+    }
+  }
+
+  private void answer(SchedulerEffect.Answer effect) {
+    CallerRef caller = effect.caller();
+    if (caller.member().equals(self)) {
+      localAnswers.accept(caller.number(), effect.answer());
+    } else {
+      members.send(caller.member(), new MemberMessage.Tell(caller.number(), effect.answer()));
+    }
+  }
+
+  private void look(SchedulerEffect.Look look) {
+    if (ended) {
+      return;
+    }
+    Instant askedAt = parts.clock().instant();
+    LookResult result = parts.workers().look(look, term);
+    WorkerDescription worker = look.worker();
+    offer(
+        new SchedulerEvent.WorkerLooked(
+            worker.id(), worker.incarnation(), askedAt, look.acknowledge(), result));
+  }
+
+  /** One order to a worker. */
+  private interface Order {
+    WorkerGateway.OrderAnswer send();
+  }
+
+  private void order(WorkerDescription worker, RunRef run, boolean start, Order order) {
+    try {
+      parts.orders().execute(() -> send(worker, run, start, order));
+    } catch (RejectedExecutionException e) {
+      parts.log().write("order not sent", run.task().toString(), Map.of("reason", "overload"));
+      ordered(
+          worker,
+          run,
+          start,
+          new WorkerGateway.OrderAnswer(OrderResult.NOT_SENT, Optional.empty()));
+    }
+  }
+
+  private void send(WorkerDescription worker, RunRef run, boolean start, Order order) {
+    if (ended) {
+      return;
+    }
+    long begun = System.nanoTime();
+    WorkerGateway.OrderAnswer answer = order.send();
+    parts
+        .metrics()
+        .countOrder(
+            start ? "start" : "stop", answer.result().name(), (System.nanoTime() - begun) / 1e9);
+    if (answer.result() != OrderResult.DONE) {
+      parts
+          .log()
+          .write(
+              start ? "start not confirmed" : "stop not confirmed",
+              run.task().toString(),
+              Map.of("run", run.run(), "worker", worker.id(), "result", answer.result()));
+    }
+    ordered(worker, run, start, answer);
+  }
+
+  private void ordered(
+      WorkerDescription worker, RunRef run, boolean start, WorkerGateway.OrderAnswer answer) {
+    offer(
+        new SchedulerEvent.OrderAnswered(
+            worker.id(), worker.incarnation(), run, start, answer.result(), answer.clockMillis()));
+  }
+
+  private void followJournal() {
+    while (!ended && Threads.pause(FOLLOW_MILLIS)) {
+      long from = followedUpTo.get();
+      Either<StoreFailure, StorePage> page =
+          parts.store().read(JournalCodec.TOPIC, from, Duration.ZERO);
+      if (page.isRight()) {
+        storeAnswered();
+        if (!page.get().records().isEmpty()) {
+          offer(
+              new SchedulerEvent.JournalSeen(
+                  JournalCodec.decodeAll(page.get().records(), parts.log())));
+        }
+        followedUpTo.accumulateAndGet(page.get().next(), Math::max);
+      } else if (page.getLeft().kind() == StoreFailure.Kind.DROPPED) {
+        followAnew();
+      }
+    }
+  }
+
+  /** Reads the newest entries again after those in between were dropped. */
+  private void followAnew() {
+    Either<StoreFailure, StorePage> newest = parts.store().newest(JournalCodec.TOPIC);
+    if (newest.isRight()) {
+      offer(
+          new SchedulerEvent.JournalSeen(
+              JournalCodec.decodeAll(newest.get().records(), parts.log())));
+      followedUpTo.accumulateAndGet(newest.get().next(), Math::max);
+    }
+  }
+
+  private void followLiveList() {
+    do {
+      if (liveList.refresh()) {
+        List<WorkerDescription> workers = liveList.workers();
+        Map<WorkerId, Long> listed = new HashMap<>();
+        workers.forEach(each -> listed.put(each.id(), each.incarnation()));
+        incarnations = listed;
+        offer(new SchedulerEvent.WorkersListed(workers));
+      }
+    } while (!ended && Threads.pause(LIVE_LIST_MILLIS));
+  }
+}
--- /dev/null
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/FramedLink.java
@@ -0,0 +1,215 @@
+package org.hyssopport.protocol;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+
+/**
+ * Carries frames between instances over TCP.
+ *
+ * <p>Each peer has one outgoing connection with a bounded ring; a full ring drops the frame, which
+ * the receiving logic allows for.
+ *
+ * @since 0.2
+ */
+public final class FramedLink implements AutoCloseable {
+
+  private static final int RING_SIZE = 4096;
+  private static final int CONNECT_TIMEOUT_MILLIS = 500;
+  private static final int RECONNECT_PAUSE_MILLIS = 200;
+  private static final int BUFFER_BYTES = 8192;
+
+  private final ServerSocket server;
+  private final Consumer<byte[]> receiver;
+  private final Consumer<String> faults;
+  private final ExecutorService threads =
+      Executors.newCachedThreadPool(
+          task -> {
+            Thread thread = new Thread(task, "peer-link");
+            thread.setDaemon(true);
+            return thread;
+          });
+  private final Map<String, Outgoing> outgoing = new ConcurrentHashMap<>();
+  private final LongAdder sentBytes = new LongAdder();
+  private final LongAdder receivedBytes = new LongAdder();
+  private volatile boolean closed;
+
+  private FramedLink(ServerSocket server, Consumer<byte[]> receiver, Consumer<String> faults) {
+    this.server = server;
+    this.receiver = receiver;
+    this.faults = faults;
+  }
+
+  /**
+   * Opens the link.
+   *
+   * @param address where to listen
+   * @param receiver takes the payload of every frame
+   * @param faults takes a line about every connection that can't be read
+   * @throws IOException if the port can't be taken
+   */
+  public static FramedLink open(
+      InetSocketAddress address, Consumer<byte[]> receiver, Consumer<String> faults)
+      throws IOException {
+    ServerSocket server = new ServerSocket();
+    server.setReuseAddress(true);
+    server.bind(address);
+    FramedLink link = new FramedLink(server, receiver, faults);
+    link.threads.execute(link::acceptAll);
+    return link;
+  }
+
+  /** Returns the bytes sent so far. */
+  public long sentBytes() {
+    return sentBytes.sum();
+  }
+
+  /** Returns the bytes received so far. */
+  public long receivedBytes() {
+    return receivedBytes.sum();
+  }
+
+  /** Sends a payload, or drops it if the peer's ring is full. */
+  public void send(String address, byte[] payload) {
+    outgoing.computeIfAbsent(address, this::startOutgoing).offer(payload);
+  }
+
+  /** Gives up the connection to a peer that fell silent; the next frame opens a new one. */
+  public void disconnect(String address) {
+    Outgoing known = outgoing.remove(address);
+    if (known != null) {
+      known.end();
+    }
+  }
+
+  private Outgoing startOutgoing(String address) {
+    Outgoing started = new Outgoing(address);
+    threads.execute(started::run);
+    return started;
+  }
+
+  private void acceptAll() {
+    while (!closed) {
+      try {
+        Socket socket = server.accept();
+        threads.execute(() -> receiveAll(socket));
+      } catch (IOException e) {
+        if (!closed) {
+          faults.accept("a connection could not be accepted: " + e.getMessage());
+        }
+      }
+    }
+  }
+
+  private void receiveAll(Socket socket) {
+    try (socket;
+        DataInputStream in =
+            new DataInputStream(new BufferedInputStream(socket.getInputStream(), BUFFER_BYTES))) {
+      socket.setTcpNoDelay(true);
+      while (!closed) {
+        byte[] payload = Frame.read(in);
+        receivedBytes.add(payload.length + Frame.OVERHEAD_BYTES);
+        receiver.accept(payload);
+      }
+    } catch (Frame.FrameException e) {
+      faults.accept("frame from " + socket.getRemoteSocketAddress() + ": " + e.getMessage());
+    } catch (IOException e) {
+      // The peer closed the connection; it opens another one when it has something to send.
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closed = true;
+    server.close();
+    threads.shutdownNow();
+  }
+
+  /** The outgoing connection to one peer. */
+  private final class Outgoing {
+
+    private final String host;
+    private final int port;
+    private final BlockingQueue<byte[]> ring = new ArrayBlockingQueue<>(RING_SIZE);
+    private volatile boolean ended;
+    private volatile Socket current;
+
+    private Outgoing(String address) {
+      int colon = address.lastIndexOf(':');
+      host = address.substring(0, colon);
+      port = Integer.parseInt(address.substring(colon + 1));
+    }
+
+    private void offer(byte[] payload) {
+      ring.offer(payload);
+    }
+
+    /** Ends the connection; an empty payload wakes a thread that waits for one. */
+    private void end() {
+      ended = true;
+      ring.clear();
+      ring.offer(new byte[0]);
+      Socket open = current;
+      if (open != null) {
+        try {
+          open.close();
+        } catch (IOException e) {
+          faults.accept("connection to " + host + " could not be closed: " + e.getMessage());
+        }
+      }
+    }
+
+    private void run() {
+      while (!closed && !ended) {
+        try (Socket socket = new Socket()) {
+          current = socket;
+          socket.setTcpNoDelay(true);
+          socket.connect(new InetSocketAddress(host, port), CONNECT_TIMEOUT_MILLIS);
+          sendAll(socket);
+        } catch (IOException e) {
+          ring.clear();
+          pause();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+          return;
+        }
+      }
+    }
+
+    private void sendAll(Socket socket) throws IOException, InterruptedException {
+      DataOutputStream out =
+          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream(), BUFFER_BYTES));
+      while (!closed && !ended) {
+        byte[] payload = ring.take();
+        while (payload != null && !ended) {
+          Frame.write(out, payload);
+          sentBytes.add(payload.length + Frame.OVERHEAD_BYTES);
+          payload = ring.poll();
+        }
+        out.flush();
+      }
+    }
+
+    private void pause() {
+      try {
+        TimeUnit.MILLISECONDS.sleep(RECONNECT_PAUSE_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -0,0 +1,93 @@
+package org.hyssopport.protocol;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.job.StepId;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.scheduler.CallerAnswer;
+import org.hyssopport.engine.scheduler.CallerRequest;
+
+/**
+ * A message between a member of the cell and its scheduler.
+ *
+ * <p>Messages may be lost; whoever waits for an answer allows for that.
+ *
+ * @since 0.2
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = MemberMessage.Present.class, name = "p"),
+  @JsonSubTypes.Type(value = MemberMessage.Leading.class, name = "l"),
+  @JsonSubTypes.Type(value = MemberMessage.Ask.class, name = "q"),
+  @JsonSubTypes.Type(value = MemberMessage.Tell.class, name = "a"),
+  @JsonSubTypes.Type(value = MemberMessage.Advise.class, name = "v"),
+  @JsonSubTypes.Type(value = MemberMessage.Advised.class, name = "w")
+})
+public sealed interface MemberMessage {
+
+  /**
+   * A member is there.
+   *
+   * @param failureDomain where it stands
+   * @param leaving whether it is about to end
+   */
+  record Present(String failureDomain, boolean leaving) implements MemberMessage {}
+
+  /**
+   * The receiver's message has reached the scheduler.
+   *
+   * @param term the scheduler's term
+   * @param storeWell whether the store has answered the scheduler lately
+   * @param pending how many jobs of each queue have not started
+   */
+  record Leading(long term, boolean storeWell, Map<String, Integer> pending)
+      implements MemberMessage {}
+
+  /**
+   * A caller asks something.
+   *
+   * @param number the number of the request at the member
+   * @param request the request
+   */
+  record Ask(long number, CallerRequest request) implements MemberMessage {}
+
+  /**
+   * What the caller is told.
+   *
+   * @param number the number of the request at the member
+   * @param answer the answer
+   */
+  record Tell(long number, CallerAnswer answer) implements MemberMessage {}
+
+  /**
+   * Ask for advice.
+   *
+   * @param call the number of the call
+   * @param step the step
+   * @param workers the workers to name
+   * @param withinMillis how long the answer may take
+   */
+  record Advise(long call, StepId step, List<WorkerId> workers, long withinMillis)
+      implements MemberMessage {}
+
+  /**
+   * The advice.
+   *
+   * @param call the number of the call
+   * @param tickets the ticket of each good worker by the worker's name; empty if none was given
+   * @param validMillis how long the tickets are accepted
+   */
+  record Advised(long call, Optional<Map<String, String>> tickets, long validMillis)
+      implements MemberMessage {}
+
+  /**
+   * A message and its sender.
+   *
+   * @param sender the sender's address
+   * @param message the message
+   */
+  record Signed(String sender, MemberMessage message) {}
+}
--- /dev/null
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MessagePackCodec.java
@@ -0,0 +1,77 @@
+package org.hyssopport.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import com.fasterxml.jackson.datatype.jsr310.JavaTimeModule;
+import io.vavr.control.Either;
+import java.io.IOException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/**
+ * Encodes values of one type as MessagePack.
+ *
+ * @param <M> the type
+ * @since 0.2
+ */
+public final class MessagePackCodec<M> {
+
+  private static final ObjectMapper MAPPER =
+      new MessagePackMapper()
+          .registerModule(new Jdk8Module())
+          .registerModule(new JavaTimeModule())
+          .disable(SerializationFeature.WRITE_DATE_TIMESTAMPS_AS_NANOSECONDS)
+          .disable(DeserializationFeature.READ_DATE_TIMESTAMPS_AS_NANOSECONDS)
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+  private final ObjectReader reader;
+  private final ObjectWriter writer;
+
+  private MessagePackCodec(Class<M> type) {
+    reader = MAPPER.readerFor(type);
+    writer = MAPPER.writerFor(type);
+  }
+
+  /** Returns the codec of a type. */
+  public static <M> MessagePackCodec<M> of(Class<M> type) {
+    return new MessagePackCodec<>(type);
+  }
+
+  /** Returns the encoded value. */
+  public byte[] encode(M value) {
+    try {
+      return writer.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("value can't be encoded: " + value, e);
+    }
+  }
+
+  /** Returns the value, or what is wrong with the bytes. */
+  public Either<String, M> decode(byte[] payload) {
+    try {
+      checkLengths(payload);
+      M value = reader.readValue(payload);
+      return value == null ? Either.left("no value") : Either.right(value);
+    } catch (IOException | RuntimeException e) {
+      return Either.left("not a message: " + firstLineOf(e));
+    }
+  }
+
+  /** Walks over the bytes, so that no stated length beyond their end is ever allocated. */
+  private static void checkLengths(byte[] payload) throws IOException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload)) {
+      unpacker.skipValue();
+    }
+  }
+
+  private static String firstLineOf(Exception fault) {
+    String message = String.valueOf(fault.getMessage());
+    return message.lines().findFirst().orElse(fault.getClass().getSimpleName());
+  }
+}
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/ModuleArrowTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/ModuleArrowTests.java
@@ -24,6 +24,8 @@
             .definedBy("org.hyssopport.engine..")
             .layer("protocol")
             .definedBy("org.hyssopport.protocol..")
+            .layer("platform")
+            .definedBy("org.hyssopport.platform..")
             .layer("launcher")
             .definedBy("org.hyssopport.launcher..")
             .layer("console")
@@ -36,10 +38,12 @@
             .mayNotBeAccessedByAnyLayer()
             .whereLayer("launcher")
             .mayOnlyBeAccessedByLayers("console")
+            .whereLayer("platform")
+            .mayOnlyBeAccessedByLayers("launcher", "console")
             .whereLayer("protocol")
             .mayOnlyBeAccessedByLayers("launcher", "testkit")
             .whereLayer("engine")
-            .mayOnlyBeAccessedByLayers("protocol", "launcher", "console", "testkit");
+            .mayOnlyBeAccessedByLayers("protocol", "platform", "launcher", "console", "testkit");
     rule.check(classes);
   }
 
