--- a/hyssopport-console/src/main/java/org/hyssopport/console/CellCommand.java
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/CellCommand.java
@@ -11,7 +11,6 @@
 import org.hyssopport.launcher.cell.CellMember;
 import org.hyssopport.platform.InstanceSettings;
 import org.hyssopport.policy.Finding;
-import sun.misc.Signal;
 
 /** Runs a member of a cell on the users' platform. */
 final class CellCommand {
@@ -37,7 +36,7 @@
     }
     try {
       CellMember member = CellMember.start(settings.get(), out);
-      Signal.handle(new Signal("HUP"), signal -> member.reloaded(InstanceSettings.read(file)));
+      HangUpSignal.handle(() -> member.reloaded(InstanceSettings.read(file)));
       return awaitEnd(member);
     } catch (IOException e) {
       err.println("an address of " + file + " can't be taken: " + e.getMessage());
