The scheduler in virtual time: workers, store, advice, callers and an oracle

Found and mended on the way: leases were extended on a worker that did not answer, so its tasks waited for ever (test tasksOfCutOffWorkersWaitForTheLease failed first). Ruled out: two faults of the simulation (good workers drawn from correlated seeds; ends that were never acknowledged counted as binding).

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerLooks.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerLooks.java
@@ -48,12 +48,12 @@
 
   private void send(WorkerHold worker, boolean mayExtendLeases) {
     boolean busy = !worker.runs().isEmpty();
+    // A silent worker is only looked at: each lease that it may have got delays its lapse.
+    boolean extend = busy && mayExtendLeases && worker.read() && worker.unansweredLooks() == 0;
     Optional<Long> lease =
-        busy && mayExtendLeases && worker.read()
-            ? worker.leaseUntil(context.settings().lease(), context.now())
-            : Optional.empty();
+        extend ? worker.leaseUntil(context.settings().lease(), context.now()) : Optional.empty();
     lease.ifPresent(worker::granted);
-    boolean waits = busy && worker.read() && !worker.endsUnstored() && mayExtendLeases;
+    boolean waits = extend && !worker.endsUnstored();
     worker.lookSent(context.now().plus(IDLE_INTERVAL));
     context.emit(
         new SchedulerEffect.Look(
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/RunHistory.java
@@ -0,0 +1,185 @@
+package org.hyssopport.testkit.world;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.job.StepId;
+import org.hyssopport.engine.job.TaskId;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.worker.RunRef;
+import org.hyssopport.policy.Resources;
+
+/**
+ * Judges what workers ran: it sees starts, ends and cancellations, and nothing of the scheduler.
+ *
+ * @since 0.2
+ */
+public final class RunHistory {
+
+  private final Map<TaskId, Set<RunRef>> running = new HashMap<>();
+  private final Map<WorkerId, Resources> used = new HashMap<>();
+  private final Map<RunRef, Resources> demands = new HashMap<>();
+  private final Set<TaskId> doneTasks = new HashSet<>();
+  private final Set<StepId> doneGangs = new HashSet<>();
+  private final Map<StepId, Integer> doneCounts = new HashMap<>();
+  private final Map<JobId, Instant> cancelled = new HashMap<>();
+  private final List<String> findings = new ArrayList<>();
+  private final Map<JobId, List<StepDefinition>> jobs = new HashMap<>();
+  private final Map<RunRef, DoneEnd> doneEnds = new HashMap<>();
+  private boolean late;
+  private int starts;
+
+  /** An end as done; it binds once the scheduler has acknowledged it. */
+  private static final class DoneEnd {
+    private final WorkerId worker;
+    private boolean acknowledged;
+    private Optional<String> startedAfter = Optional.empty();
+
+    private DoneEnd(WorkerId worker) {
+      this.worker = worker;
+    }
+  }
+
+  /** Notes what a caller asked for. */
+  public void asked(JobId job, List<StepDefinition> steps) {
+    jobs.put(job, steps);
+  }
+
+  StepDefinition step(RunRef ref) {
+    StepId id = ref.task().step();
+    return jobs.get(id.job()).get(id.step());
+  }
+
+  /** Notes that a cancellation was confirmed to a caller. */
+  public void cancelConfirmed(JobId job, Instant at) {
+    cancelled.putIfAbsent(job, at);
+  }
+
+  void started(RunRef ref, StepDefinition step, WorkerId worker, Resources capacity, Instant at) {
+    starts++;
+    Resources total = used.getOrDefault(worker, Resources.NONE).plus(step.demand());
+    used.put(worker, total);
+    demands.put(ref, step.demand());
+    if (!total.fitsIn(capacity)) {
+      findings.add(at + " over capacity on " + worker + " by " + ref);
+    }
+    Set<RunRef> others = running.computeIfAbsent(ref.task(), each -> new HashSet<>());
+    if (!others.isEmpty()) {
+      findings.add(at + " twice at once: " + ref + " beside " + others);
+    }
+    others.add(ref);
+    checkNotDone(ref, step.gang(), at);
+    if (!jobs.containsKey(ref.task().step().job())) {
+      findings.add(at + " nobody asked for " + ref);
+    } else {
+      checkOrder(ref, at);
+    }
+    Instant cancelledAt = cancelled.get(ref.task().step().job());
+    if (cancelledAt != null && !late && at.isAfter(cancelledAt.plusSeconds(3))) {
+      findings.add(at + " started long after it was cancelled: " + ref);
+    }
+  }
+
+  private void checkNotDone(RunRef ref, boolean gang, Instant at) {
+    doneEnds.forEach(
+        (ended, end) -> {
+          boolean same =
+              gang
+                  ? ended.task().step().equals(ref.task().step())
+                  : ended.task().equals(ref.task());
+          if (same && end.acknowledged) {
+            findings.add(at + " started after it was done: " + ref);
+          } else if (same) {
+            end.startedAfter = Optional.of(at + " started after it was done: " + ref);
+          }
+        });
+  }
+
+  /** Notes that the scheduler acknowledged an end. */
+  void acknowledged(RunRef ref) {
+    DoneEnd end = doneEnds.get(ref);
+    if (end != null && !end.acknowledged) {
+      end.acknowledged = true;
+      end.startedAfter.ifPresent(findings::add);
+    }
+  }
+
+  /** Notes that a worker forgot, or that its lease lapsed: ends not acknowledged don't bind. */
+  void forgot(WorkerId worker) {
+    doneEnds.values().removeIf(end -> end.worker.equals(worker) && !end.acknowledged);
+  }
+
+  /** Says whether what starts now was ordered seconds ago. */
+  void setLate(boolean nowLate) {
+    late = nowLate;
+  }
+
+  private void checkOrder(RunRef ref, Instant at) {
+    StepId step = ref.task().step();
+    List<StepDefinition> steps = jobs.get(step.job());
+    for (int earlier : steps.get(step.step()).after()) {
+      StepId before = new StepId(step.job(), step.occurrence(), earlier);
+      boolean done =
+          doneGangs.contains(before)
+              || doneCounts.getOrDefault(before, 0) >= steps.get(earlier).tasks();
+      if (!done) {
+        findings.add(at + " out of order: " + ref + " before " + before);
+      }
+    }
+  }
+
+  void ended(RunRef ref, WorkerId worker, Instant at) {
+    boolean known = running.getOrDefault(ref.task(), Set.of()).remove(ref);
+    if (!known) {
+      findings.add(at + " ended without a start: " + ref);
+      return;
+    }
+    used.merge(worker, demands.remove(ref).times(-1), Resources::plus);
+  }
+
+  void done(RunRef ref, WorkerId worker, boolean gang) {
+    TaskId task = ref.task();
+    doneEnds.put(ref, new DoneEnd(worker));
+    if (gang) {
+      doneGangs.add(task.step());
+    } else if (doneTasks.add(task)) {
+      doneCounts.merge(task.step(), 1, Integer::sum);
+    }
+  }
+
+  /** Tells whether all tasks of a job have ended as done. */
+  public boolean isDone(JobId job) {
+    List<StepDefinition> steps = jobs.get(job);
+    for (int step = 0; step < steps.size(); step++) {
+      StepId id = new StepId(job, 0, step);
+      boolean done =
+          doneGangs.contains(id) || doneCounts.getOrDefault(id, 0) >= steps.get(step).tasks();
+      if (!done) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Notes a finding of another observer. */
+  public void add(String finding) {
+    findings.add(finding);
+  }
+
+  /** Returns all that broke a promise. */
+  public List<String> findings() {
+    return List.copyOf(findings);
+  }
+
+  /** Returns how many runs were started. */
+  public int starts() {
+    return starts;
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -0,0 +1,315 @@
+package org.hyssopport.testkit.world;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import org.hyssopport.engine.advice.AdviceCall;
+import org.hyssopport.engine.advice.Ticket;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.scheduler.CallerAnswer;
+import org.hyssopport.engine.scheduler.CallerRef;
+import org.hyssopport.engine.scheduler.CellScheduler;
+import org.hyssopport.engine.scheduler.LookResult;
+import org.hyssopport.engine.scheduler.OrderResult;
+import org.hyssopport.engine.scheduler.SchedulerEffect;
+import org.hyssopport.engine.scheduler.SchedulerEvent;
+import org.hyssopport.engine.scheduler.SchedulerSettings;
+import org.hyssopport.engine.worker.RunRef;
+import org.hyssopport.engine.worker.WorkerDescription;
+
+/** Runs one scheduler for one term in virtual time. */
+final class SchedulerHost {
+
+  private static final long DECIDE_MILLIS = 1;
+  private static final long TICK_MILLIS = 20;
+  private static final long STORE_MILLIS = 6;
+  private static final long STORE_RETRY_MILLIS = 40;
+  private static final long WAY_MILLIS = 1;
+  private static final long LIST_MILLIS = 500;
+  private static final long SILENCE_MILLIS = 700;
+
+  private final VirtualTime time;
+  private final Random random;
+  private final SimulatedWorkers workers;
+  private final SimulatedJournal journal;
+  private final OrderFaults faults;
+  private final long term;
+  private final int members;
+  private final double goodShare;
+  private final BiConsumer<CallerRef, CallerAnswer> told;
+  private final CellScheduler scheduler;
+  private final List<String> decisions;
+  private final Map<String, Instant> memberFreeAt = new HashMap<>();
+  private boolean deciding;
+  private boolean storeWell = true;
+  private boolean ended;
+
+  SchedulerHost(World world, long term, BiConsumer<CallerRef, CallerAnswer> told) {
+    this.time = world.time();
+    this.random = world.random();
+    this.workers = world.workers();
+    this.journal = world.journal();
+    this.faults = world.orderFaults();
+    this.members = world.members();
+    this.goodShare = world.goodShare();
+    this.term = term;
+    this.told = told;
+    this.decisions = world.decisions();
+    this.scheduler =
+        CellScheduler.create(
+            SchedulerSettings.of(
+                SimulatedWorkers.LONGEST_LEASE,
+                SimulatedWorkers.GANG_WINDOW,
+                SimulatedWorkers.STOP_TIME,
+                Duration.ofMinutes(2)));
+  }
+
+  void begin() {
+    journal.fence(term);
+    handle(new SchedulerEvent.Recovered(journal.entries(), workers.listed()));
+    Set<String> names = new HashSet<>();
+    for (int number = 0; number < members; number++) {
+      names.add("member-" + number);
+    }
+    handle(new SchedulerEvent.MembersChanged(names));
+    time.afterMillis(TICK_MILLIS, this::tick);
+    time.afterMillis(LIST_MILLIS, this::list);
+  }
+
+  void end() {
+    ended = true;
+  }
+
+  boolean ended() {
+    return ended;
+  }
+
+  int activeJobs() {
+    return scheduler.activeJobs();
+  }
+
+  private void tick() {
+    if (!ended) {
+      handle(new SchedulerEvent.Ticked());
+      time.afterMillis(TICK_MILLIS, this::tick);
+    }
+  }
+
+  private void list() {
+    if (!ended) {
+      if (!journal.down()) {
+        handle(new SchedulerEvent.StoreAnswered());
+        handle(new SchedulerEvent.WorkersListed(workers.listed()));
+      }
+      time.afterMillis(LIST_MILLIS, this::list);
+    }
+  }
+
+  void handle(SchedulerEvent event) {
+    if (ended) {
+      return;
+    }
+    execute(scheduler.handle(event, time.now(), time.now()));
+    if (!deciding) {
+      deciding = true;
+      time.afterMillis(DECIDE_MILLIS, this::decide);
+    }
+  }
+
+  private void decide() {
+    deciding = false;
+    if (!ended) {
+      execute(scheduler.decide(time.now(), time.now()));
+    }
+  }
+
+  private void execute(List<SchedulerEffect> effects) {
+    for (SchedulerEffect effect : effects) {
+      if (effect instanceof SchedulerEffect.Store store) {
+        time.afterMillis(STORE_MILLIS, () -> store(store.entries(), false));
+      } else if (effect instanceof SchedulerEffect.Answer answer) {
+        told.accept(answer.caller(), answer.answer());
+      } else if (effect instanceof SchedulerEffect.Look look) {
+        time.afterMillis(WAY_MILLIS, () -> look(look));
+      } else if (effect instanceof SchedulerEffect.Start start) {
+        order(start.worker(), start.run(), true, () -> start(start));
+      } else if (effect instanceof SchedulerEffect.Stop stop) {
+        order(
+            stop.worker(),
+            stop.run(),
+            false,
+            () -> workers.find(stop.worker().id()).stop(stop.run(), term));
+      } else if (effect instanceof SchedulerEffect.Advise advise) {
+        advise(advise.member(), advise.call());
+      } else if (effect instanceof SchedulerEffect.StepDown down) {
+        decisions.add(time.now() + " term " + term + " steps down: " + down.reason());
+        ended = true;
+      } else if (effect instanceof SchedulerEffect.Decided decided) {
+        decisions.add(
+            time.now()
+                + " term "
+                + term
+                + " "
+                + decided.decision()
+                + " "
+                + decided.request()
+                + " "
+                + decided.inputs());
+      }
+    }
+  }
+
+  private void store(List<JournalEntry> entries, boolean done) {
+    if (ended) {
+      return;
+    }
+    if (journal.down()) {
+      storeFailed(entries, done);
+      return;
+    }
+    if (!done && !journal.append(term, entries)) {
+      ended = true;
+      return;
+    }
+    if (random.nextDouble() < journal.lostAnswers()) {
+      storeFailed(entries, true);
+      return;
+    }
+    if (!storeWell) {
+      storeWell = true;
+      handle(new SchedulerEvent.StoreChanged(true));
+    }
+    handle(new SchedulerEvent.JournalStored());
+  }
+
+  private void storeFailed(List<JournalEntry> entries, boolean done) {
+    if (storeWell) {
+      storeWell = false;
+      handle(new SchedulerEvent.StoreChanged(false));
+    }
+    time.afterMillis(STORE_RETRY_MILLIS, () -> store(entries, done));
+  }
+
+  private OrderResult start(SchedulerEffect.Start start) {
+    RunRef ref = start.run();
+    return workers
+        .find(start.worker().id())
+        .start(ref, workers.history().step(ref), start.leaseUntil(), term);
+  }
+
+  /** One order as the worker carries it out. */
+  private interface Order {
+    OrderResult carryOut();
+  }
+
+  private void order(WorkerDescription worker, RunRef run, boolean start, Order order) {
+    time.afterMillis(WAY_MILLIS, () -> arrive(worker, run, start, order));
+  }
+
+  private void arrive(WorkerDescription worker, RunRef run, boolean start, Order order) {
+    SimulatedWorker there = workers.find(worker.id());
+    if (!there.answers()) {
+      answer(worker, run, start, OrderResult.NOT_SENT, SILENCE_MILLIS);
+      return;
+    }
+    OrderFaults.Fate fate = faults.next(random);
+    if (fate == OrderFaults.Fate.LATE) {
+      long delay = faults.lateMillis(random);
+      time.afterMillis(delay, () -> carryOutLate(there, order));
+      answer(worker, run, start, OrderResult.UNANSWERED, SILENCE_MILLIS);
+      return;
+    }
+    OrderResult result = order.carryOut();
+    if (fate == OrderFaults.Fate.LOST_ANSWER) {
+      answer(worker, run, start, OrderResult.UNANSWERED, SILENCE_MILLIS);
+    } else {
+      answer(worker, run, start, result, WAY_MILLIS);
+    }
+  }
+
+  private void carryOutLate(SimulatedWorker there, Order order) {
+    if (there.up()) {
+      workers.history().setLate(true);
+      order.carryOut();
+      workers.history().setLate(false);
+    }
+  }
+
+  private void answer(
+      WorkerDescription worker, RunRef run, boolean start, OrderResult result, long afterMillis) {
+    time.afterMillis(
+        afterMillis,
+        () ->
+            handle(
+                new SchedulerEvent.OrderAnswered(
+                    worker.id(), worker.incarnation(), run, start, result, Optional.empty())));
+  }
+
+  private void look(SchedulerEffect.Look look) {
+    SimulatedWorker there = workers.find(look.worker().id());
+    Instant askedAt = time.now();
+    boolean[] answered = {false};
+    time.afterMillis(
+        look.waitMillis() + SILENCE_MILLIS,
+        () -> {
+          if (!answered[0]) {
+            looked(look, askedAt, new LookResult.Unanswered());
+          }
+        });
+    if (there.answers()) {
+      there.look(
+          look.leaseUntil(),
+          look.acknowledge(),
+          look.waitMillis(),
+          term,
+          result -> {
+            if (there.answers()) {
+              answered[0] = true;
+              time.afterMillis(WAY_MILLIS, () -> looked(look, askedAt, result));
+            }
+          });
+    }
+  }
+
+  private void looked(SchedulerEffect.Look look, Instant askedAt, LookResult result) {
+    handle(
+        new SchedulerEvent.WorkerLooked(
+            look.worker().id(), look.worker().incarnation(), askedAt, look.acknowledge(), result));
+  }
+
+  /** The service takes one call at a time for each member. */
+  private void advise(String member, AdviceCall call) {
+    Instant free = memberFreeAt.getOrDefault(member, time.now());
+    Instant begin = free.isAfter(time.now()) ? free : time.now();
+    Instant end = begin.plus(call.expected());
+    memberFreeAt.put(member, end);
+    time.after(Duration.between(time.now(), end), () -> advised(call));
+  }
+
+  private void advised(AdviceCall call) {
+    Map<WorkerId, Ticket> tickets = new HashMap<>();
+    for (WorkerId worker : call.workers()) {
+      boolean good = drawn(call.step().hashCode() * 31L + worker.hashCode()) < goodShare;
+      if (good) {
+        long incarnation = workers.find(worker).describe().incarnation();
+        tickets.put(worker, new Ticket("ticket", incarnation, time.now().plusMillis(1500)));
+      }
+    }
+    handle(new SchedulerEvent.AdviceAnswered(call.number(), Optional.of(tickets)));
+  }
+
+  /** Returns a share drawn from a seed; seeds next to each other give unrelated shares. */
+  private static double drawn(long seed) {
+    long mixed = seed * 0x9E3779B97F4A7C15L;
+    mixed = (mixed ^ (mixed >>> 32)) * 0xD6E8FEB86659FD93L;
+    return ((mixed ^ (mixed >>> 32)) >>> 11) * 0x1.0p-53;
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
@@ -0,0 +1,61 @@
+package org.hyssopport.testkit.world;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.hyssopport.engine.job.JournalEntry;
+
+/**
+ * The journal in the platform's store: the newest entry of each kind and job.
+ *
+ * @since 0.2
+ */
+public final class SimulatedJournal {
+
+  private final Map<String, JournalEntry> newest = new LinkedHashMap<>();
+  private long newestTerm;
+  private boolean down;
+  private double lostAnswers;
+
+  /** Makes the store unreachable, or reachable again. */
+  public void setDown(boolean nowDown) {
+    down = nowDown;
+  }
+
+  /** Makes so large a share of the appends done but not answered. */
+  public void setLostAnswers(double share) {
+    lostAnswers = share;
+  }
+
+  boolean down() {
+    return down;
+  }
+
+  double lostAnswers() {
+    return lostAnswers;
+  }
+
+  void fence(long term) {
+    newestTerm = Math.max(newestTerm, term);
+  }
+
+  /** Appends for a term; returns false if a newer term exists. */
+  boolean append(long term, List<JournalEntry> entries) {
+    if (term < newestTerm) {
+      return false;
+    }
+    for (JournalEntry entry : entries) {
+      if (entry instanceof JournalEntry.Forgotten) {
+        newest.keySet().removeIf(key -> key.endsWith(entry.job().text()));
+      } else {
+        newest.put(entry.getClass().getSimpleName() + entry.job().text(), entry);
+      }
+    }
+    return true;
+  }
+
+  List<JournalEntry> entries() {
+    return new ArrayList<>(newest.values());
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
@@ -0,0 +1,300 @@
+package org.hyssopport.testkit.world;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.job.TaskId;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.scheduler.LookResult;
+import org.hyssopport.engine.scheduler.OrderResult;
+import org.hyssopport.engine.worker.RunEnd;
+import org.hyssopport.engine.worker.RunRef;
+import org.hyssopport.engine.worker.WorkerDescription;
+import org.hyssopport.engine.worker.WorkerReport;
+import org.hyssopport.policy.Resources;
+
+/**
+ * A worker that guards nothing but its fence, its lease and its run numbers.
+ *
+ * @since 0.2
+ */
+public final class SimulatedWorker {
+
+  private final VirtualTime time;
+  private final SimulatedWorkers all;
+  private final WorkerId id;
+  private final FailureDomain domain;
+  private final String rack;
+  private final Resources capacity;
+  private final Map<RunRef, Running> running = new LinkedHashMap<>();
+  private final Map<TaskId, Integer> highestEnded = new HashMap<>();
+  private final List<WorkerReport.EndedRun> ended = new ArrayList<>();
+  private final Set<RunRef> stopping = new HashSet<>();
+  private final List<Runnable> waitingLooks = new ArrayList<>();
+  private long incarnation;
+  private Instant bornAt;
+  private Instant leaseUntil = Instant.MIN;
+  private long fence;
+  private long lastEnd;
+  private boolean reachable = true;
+  private boolean up = true;
+  private boolean draining;
+  private double slowness = 1;
+  private boolean failsAll;
+  private boolean hangs;
+
+  SimulatedWorker(
+      VirtualTime time,
+      SimulatedWorkers all,
+      WorkerId id,
+      FailureDomain domain,
+      String rack,
+      Resources capacity) {
+    this.time = time;
+    this.all = all;
+    this.id = id;
+    this.domain = domain;
+    this.rack = rack;
+    this.capacity = capacity;
+    this.bornAt = time.now();
+    this.incarnation = bornAt.toEpochMilli();
+  }
+
+  /** One run that goes on. */
+  record Running(RunRef ref, StepDefinition step, Instant startedAt, Optional<Instant> endsAt) {}
+
+  /** Returns its id. */
+  public WorkerId id() {
+    return id;
+  }
+
+  /** Returns what it would write of itself. */
+  public WorkerDescription describe() {
+    return new WorkerDescription(
+        id,
+        incarnation,
+        id.name(),
+        SimulatedWorkers.SERVICE,
+        domain,
+        capacity,
+        Set.of("a", rack),
+        rack,
+        draining);
+  }
+
+  boolean up() {
+    return up;
+  }
+
+  boolean answers() {
+    return up && reachable;
+  }
+
+  /** Cuts it off from schedulers, or connects it again; it runs on. */
+  public void setReachable(boolean nowReachable) {
+    reachable = nowReachable;
+  }
+
+  /** Lets it announce that it will leave. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Makes its work take longer. */
+  public void setSlowness(double factor) {
+    slowness = factor;
+  }
+
+  /** Makes all that it starts fail within a moment. */
+  public void setFailsAll(boolean fails) {
+    failsAll = fails;
+  }
+
+  /** Makes all that it starts stand still. */
+  public void setHangs(boolean nowHangs) {
+    hangs = nowHangs;
+  }
+
+  /** Ends it with all that it runs. */
+  public void crash() {
+    up = false;
+    all.history().forgot(id);
+    for (Running each : List.copyOf(running.values())) {
+      all.history().ended(each.ref(), id, time.now());
+    }
+    running.clear();
+    stopping.clear();
+    waitingLooks.clear();
+  }
+
+  /** Starts it anew under the same id; it knows nothing of before. */
+  public void restart() {
+    up = true;
+    bornAt = time.now();
+    incarnation = bornAt.toEpochMilli();
+    highestEnded.clear();
+    ended.clear();
+    lastEnd = 0;
+    fence = 0;
+    leaseUntil = Instant.MIN;
+  }
+
+  private long clockMillis() {
+    return Duration.between(bornAt, time.now()).toMillis();
+  }
+
+  private Instant instantOf(long clockMillis) {
+    return bornAt.plusMillis(clockMillis);
+  }
+
+  private void extendLease(long until) {
+    long longest = clockMillis() + SimulatedWorkers.LONGEST_LEASE.toMillis();
+    Instant newUntil = instantOf(Math.min(until, longest));
+    if (newUntil.isAfter(leaseUntil)) {
+      leaseUntil = newUntil;
+      time.after(Duration.between(time.now(), newUntil), this::lapse);
+    }
+  }
+
+  private void lapse() {
+    if (up && !time.now().isBefore(leaseUntil)) {
+      all.history().forgot(id);
+      for (RunRef ref : List.copyOf(running.keySet())) {
+        end(ref, RunEnd.LAPSED);
+      }
+    }
+  }
+
+  OrderResult start(RunRef ref, StepDefinition step, long until, long orderFence) {
+    if (orderFence < fence) {
+      return OrderResult.FENCED;
+    }
+    fence = orderFence;
+    if (running.containsKey(ref)) {
+      extendLease(until);
+      return OrderResult.DONE;
+    }
+    if (until <= clockMillis()) {
+      return OrderResult.TOO_LATE;
+    }
+    extendLease(until);
+    if (ref.run() <= highestEnded.getOrDefault(ref.task(), 0)) {
+      return OrderResult.OLD_RUN;
+    }
+    begin(ref, step);
+    return OrderResult.DONE;
+  }
+
+  private void begin(RunRef ref, StepDefinition step) {
+    int failures = all.plannedFailures(ref.task());
+    boolean fails = failsAll || ref.run() <= failures;
+    Duration work = Duration.ofMillis((long) (all.workOf(ref.task(), step).toMillis() * slowness));
+    Duration length = fails ? SimulatedWorkers.FAILS_WITHIN : work;
+    Optional<Instant> endsAt = hangs ? Optional.empty() : Optional.of(time.now().plus(length));
+    running.put(ref, new Running(ref, step, time.now(), endsAt));
+    all.history().started(ref, step, id, capacity, time.now());
+    if (step.gang()) {
+      all.gangMemberStarted(ref, step, fails ? RunEnd.FAILED : RunEnd.DONE, length);
+      time.after(SimulatedWorkers.GANG_WINDOW, () -> endIfAlone(ref, step));
+    } else if (!hangs) {
+      time.after(length, () -> end(ref, fails ? RunEnd.FAILED : RunEnd.DONE));
+    }
+  }
+
+  private void endIfAlone(RunRef ref, StepDefinition step) {
+    if (running.containsKey(ref) && !all.isGangTogether(ref, step)) {
+      end(ref, RunEnd.ALONE);
+    }
+  }
+
+  boolean runs(RunRef ref) {
+    return running.containsKey(ref);
+  }
+
+  void end(RunRef ref, RunEnd how) {
+    Running ending = running.remove(ref);
+    if (ending == null) {
+      return;
+    }
+    stopping.remove(ref);
+    highestEnded.merge(ref.task(), ref.run(), Math::max);
+    lastEnd++;
+    ended.add(new WorkerReport.EndedRun(lastEnd, ref, how, ""));
+    all.history().ended(ref, id, time.now());
+    if (how == RunEnd.DONE) {
+      all.history().done(ref, id, ending.step().gang());
+    }
+    if (ending.step().gang()) {
+      all.gangMemberEnded(ref, how);
+    }
+    List<Runnable> waiting = List.copyOf(waitingLooks);
+    waitingLooks.clear();
+    waiting.forEach(Runnable::run);
+  }
+
+  OrderResult stop(RunRef ref, long orderFence) {
+    if (orderFence < fence) {
+      return OrderResult.FENCED;
+    }
+    fence = orderFence;
+    if (running.containsKey(ref)) {
+      stopping.add(ref);
+      time.after(SimulatedWorkers.STOP_TIME, () -> end(ref, RunEnd.STOPPED));
+    } else {
+      highestEnded.merge(ref.task(), ref.run(), Math::max);
+    }
+    return OrderResult.DONE;
+  }
+
+  /** Takes a look; the answer waits for an end if there is none to list. */
+  void look(
+      Optional<Long> until,
+      long acknowledged,
+      int waitMillis,
+      long orderFence,
+      Consumer<LookResult> answer) {
+    if (orderFence < fence) {
+      answer.accept(new LookResult.Fenced());
+      return;
+    }
+    fence = orderFence;
+    until.ifPresent(this::extendLease);
+    for (WorkerReport.EndedRun each : List.copyOf(ended)) {
+      if (each.number() <= acknowledged) {
+        all.history().acknowledged(each.run());
+        ended.remove(each);
+      }
+    }
+    if (waitMillis == 0 || !ended.isEmpty()) {
+      answer.accept(report());
+      return;
+    }
+    boolean[] answered = {false};
+    Runnable once =
+        () -> {
+          if (!answered[0] && up) {
+            answered[0] = true;
+            answer.accept(report());
+          }
+        };
+    waitingLooks.add(once);
+    time.afterMillis(waitMillis, once);
+  }
+
+  private LookResult report() {
+    List<WorkerReport.RunningRun> runs = new ArrayList<>();
+    running.keySet().forEach(ref -> runs.add(new WorkerReport.RunningRun(ref, "")));
+    return new LookResult.Reported(
+        new WorkerReport(incarnation, clockMillis(), runs, List.copyOf(ended)));
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/World.java
@@ -0,0 +1,248 @@
+package org.hyssopport.testkit.world;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.hyssopport.engine.job.JobDefinition;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.QueuePolicy;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.scheduler.CallerAnswer;
+import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
+import org.hyssopport.engine.scheduler.CallerRef;
+import org.hyssopport.engine.scheduler.CallerRequest;
+import org.hyssopport.engine.scheduler.SchedulerEvent;
+import org.hyssopport.policy.Resources;
+
+/**
+ * Workers, a journal, callers and one scheduler after the other, in virtual time.
+ *
+ * @since 0.2
+ */
+public final class World {
+
+  private static final Duration TAKE_OVER = Duration.ofMillis(1500);
+  private static final Duration ASK_AGAIN = Duration.ofMillis(300);
+
+  private final VirtualTime time = new VirtualTime();
+  private final Random random;
+  private final SimulatedWorkers workers;
+  private final SimulatedJournal journal = new SimulatedJournal();
+  private final OrderFaults orderFaults = new OrderFaults();
+  private final int members;
+  private final double goodShare;
+  private final Map<JobId, JobDefinition> submitted = new LinkedHashMap<>();
+  private final Map<JobId, Instant> acceptedAt = new HashMap<>();
+  private final Map<JobId, Instant> completeAt = new HashMap<>();
+  private final Map<JobId, JobState> lastState = new HashMap<>();
+  private final Set<JobId> cancelled = new HashSet<>();
+  private final Map<Long, CallerRequest> open = new HashMap<>();
+  private Optional<SchedulerHost> host = Optional.empty();
+  private final List<String> decisions = new ArrayList<>();
+  private long lastTerm;
+  private long lastNumber;
+
+  private World(long seed, int workerCount, Resources capacity, int members, double goodShare) {
+    this.random = new Random(seed);
+    this.workers = SimulatedWorkers.of(time, workerCount, capacity);
+    this.members = members;
+    this.goodShare = goodShare;
+  }
+
+  /**
+   * Returns a world with a scheduler.
+   *
+   * @param seed draws all that happens by chance
+   * @param workers how many workers there are
+   * @param capacity the size of each
+   * @param members how many members can make calls for advice
+   * @param goodShare the share of workers that advice allows a step
+   */
+  public static World create(
+      long seed, int workers, Resources capacity, int members, double goodShare) {
+    World world = new World(seed, workers, capacity, members, goodShare);
+    world.electScheduler();
+    return world;
+  }
+
+  VirtualTime time() {
+    return time;
+  }
+
+  Random random() {
+    return random;
+  }
+
+  /** Returns the workers. */
+  public SimulatedWorkers workers() {
+    return workers;
+  }
+
+  /** Returns the journal. */
+  public SimulatedJournal journal() {
+    return journal;
+  }
+
+  /** Returns what goes wrong with orders. */
+  public OrderFaults orderFaults() {
+    return orderFaults;
+  }
+
+  int members() {
+    return members;
+  }
+
+  double goodShare() {
+    return goodShare;
+  }
+
+  /** Lets time pass. */
+  public void run(Duration span) {
+    time.run(span);
+  }
+
+  /** Does something after a while. */
+  public void after(Duration delay, Runnable action) {
+    time.after(delay, action);
+  }
+
+  /** Ends the scheduler; another one takes over after a while. */
+  public void killScheduler() {
+    host.ifPresent(SchedulerHost::end);
+    host = Optional.empty();
+    time.after(TAKE_OVER, this::electScheduler);
+  }
+
+  /** Makes another scheduler take over while the older one goes on. */
+  public void electScheduler() {
+    if (journal.down()) {
+      time.after(TAKE_OVER, this::electScheduler);
+      return;
+    }
+    lastTerm++;
+    SchedulerHost next = new SchedulerHost(this, lastTerm, this::told);
+    host = Optional.of(next);
+    next.begin();
+  }
+
+  /** Submits a job. */
+  public JobId submit(QueuePolicy queue, List<StepDefinition> steps) {
+    lastNumber++;
+    JobId id = new JobId(String.format("%016x", lastNumber));
+    JobDefinition job =
+        new JobDefinition(id, queue, "payload", steps, 0, Instant.EPOCH, Duration.ZERO, time.now());
+    submitted.put(id, job);
+    workers.history().asked(id, steps);
+    ask(new CallerRequest.Submit(job));
+    return id;
+  }
+
+  /** Cancels a job. */
+  public void cancel(JobId id) {
+    ask(new CallerRequest.Cancel(id));
+  }
+
+  /** Asks for the state of all accepted jobs. */
+  public void showAll() {
+    acceptedAt.keySet().forEach(id -> ask(new CallerRequest.Show(id)));
+  }
+
+  private void ask(CallerRequest request) {
+    lastNumber++;
+    long number = lastNumber;
+    if (host.isPresent() && !host.get().ended()) {
+      open.put(number, request);
+      CallerRef caller = new CallerRef("member-0", number);
+      host.get().handle(new SchedulerEvent.CallerAsked(caller, request));
+    }
+    if (!(request instanceof CallerRequest.Show)) {
+      time.after(ASK_AGAIN, () -> askAgain(number, request));
+    }
+  }
+
+  private void askAgain(long number, CallerRequest request) {
+    open.remove(number);
+    boolean settled =
+        request instanceof CallerRequest.Submit
+            ? acceptedAt.containsKey(request.job())
+            : cancelled.contains(request.job());
+    if (!settled) {
+      ask(request);
+    }
+  }
+
+  private void told(CallerRef caller, CallerAnswer answer) {
+    CallerRequest request = open.remove(caller.number());
+    if (request == null) {
+      return;
+    }
+    JobId id = request.job();
+    if (answer.verdict() == Verdict.ACCEPTED) {
+      acceptedAt.putIfAbsent(id, time.now());
+    } else if (answer.verdict() == Verdict.CANCELLED) {
+      cancelled.add(id);
+      workers.history().cancelConfirmed(id, time.now());
+    } else if (answer.verdict() == Verdict.UNKNOWN_JOB && acceptedAt.containsKey(id)) {
+      workers.history().add(time.now() + " an accepted job is not known: " + id);
+    }
+    answer.state().ifPresent(state -> shown(id, state));
+  }
+
+  private void shown(JobId id, JobState state) {
+    JobState before = lastState.put(id, state);
+    if (before != null && before.isOver() && before != state) {
+      workers.history().add(time.now() + " " + id + " was " + before + " and is " + state);
+    }
+    if (state == JobState.COMPLETE) {
+      completeAt.putIfAbsent(id, time.now());
+      if (!workers.history().isDone(id)) {
+        workers.history().add(time.now() + " shown as complete too early: " + id);
+      }
+    }
+  }
+
+  /** Returns the last state that was shown of a job. */
+  public Optional<JobState> state(JobId id) {
+    return Optional.ofNullable(lastState.get(id));
+  }
+
+  /** Returns when a job was first shown as complete. */
+  public Optional<Instant> completeAt(JobId id) {
+    return Optional.ofNullable(completeAt.get(id));
+  }
+
+  /** Returns how long a job took until it was first shown as complete. */
+  public Optional<Duration> timeTaken(JobId id) {
+    return completeAt(id).map(at -> Duration.between(submitted.get(id).acceptedAt(), at));
+  }
+
+  /** Returns the accepted jobs that were not shown as over. */
+  public List<JobId> unfinished() {
+    List<JobId> unfinished = new ArrayList<>();
+    for (JobId id : acceptedAt.keySet()) {
+      if (!state(id).map(JobState::isOver).orElse(false)) {
+        unfinished.add(id);
+      }
+    }
+    return unfinished;
+  }
+
+  /** Returns the decisions of all schedulers so far, in order. */
+  public List<String> decisions() {
+    return decisions;
+  }
+
+  /** Returns all that broke a promise. */
+  public List<String> findings() {
+    return workers.history().findings();
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
@@ -0,0 +1,208 @@
+package org.hyssopport.testkit.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.policy.Resources;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The scheduler in a world of workers, a store and callers. */
+class CellSchedulerTests {
+
+  private static final Resources SIZE = Resources.of(64, 262_144, 0);
+
+  private final World world = World.create(17, 9, SIZE, 3, 0.5);
+
+  private void finish(Duration span) {
+    world.run(span);
+    world.showAll();
+    world.run(Duration.ofSeconds(1));
+    assertEquals(List.of(), world.findings());
+  }
+
+  @Nested
+  class OnCalmDays {
+
+    @Test
+    void stepsRunInTheirOrder() {
+      JobId job =
+          world.submit(
+              Steps.queue(0, 2), List.of(Steps.plain(4, 1000, 500), Steps.after(0, 2, 500, 300)));
+      finish(Duration.ofSeconds(2));
+      assertEquals(Optional.of(JobState.COMPLETE), world.state(job));
+    }
+
+    @Test
+    void gangsWithAdviceRunTogether() {
+      JobId job = world.submit(Steps.advised(1, 900), List.of(Steps.gang(8, 18_000, 2000)));
+      finish(Duration.ofSeconds(6));
+      assertEquals(Optional.of(JobState.COMPLETE), world.state(job));
+    }
+
+    @Test
+    void jobsThatCanNeverBeDoneFailAfterTheirAttempts() {
+      JobId job = world.submit(Steps.queue(0, 3), List.of(Steps.plain(1, 1000, 500)));
+      world.workers().setFailures(job, 100);
+      finish(Duration.ofSeconds(5));
+      assertEquals(Optional.of(JobState.FAILED), world.state(job));
+      assertEquals(3, world.workers().history().starts());
+    }
+
+    @Test
+    void cancelledJobsStop() {
+      JobId job = world.submit(Steps.queue(0, 3), List.of(Steps.plain(1, 1000, 60_000)));
+      world.run(Duration.ofSeconds(1));
+      world.cancel(job);
+      finish(Duration.ofSeconds(2));
+      assertEquals(Optional.of(JobState.CANCELLED), world.state(job));
+    }
+  }
+
+  @Nested
+  class WhenSchedulersDie {
+
+    @ParameterizedTest
+    @ValueSource(ints = {5, 20, 100, 400, 900, 2000})
+    void runningTasksAreAdopted(int killedAfterMillis) {
+      JobId job = world.submit(Steps.queue(0, 2), List.of(Steps.plain(30, 2000, 3000)));
+      world.run(Duration.ofMillis(killedAfterMillis));
+      world.killScheduler();
+      finish(Duration.ofSeconds(9));
+      assertEquals(Optional.of(JobState.COMPLETE), world.state(job));
+    }
+
+    @Test
+    void theOlderOfTwoSchedulersIsShutOut() {
+      JobId job = world.submit(Steps.queue(0, 2), List.of(Steps.plain(30, 2000, 1000)));
+      world.run(Duration.ofMillis(300));
+      world.electScheduler();
+      finish(Duration.ofSeconds(5));
+      assertEquals(Optional.of(JobState.COMPLETE), world.state(job));
+    }
+  }
+
+  @Nested
+  class WhenWorkersFail {
+
+    @Test
+    void tasksOfCutOffWorkersWaitForTheLease() {
+      JobId job = world.submit(Steps.queue(0, 2), List.of(Steps.plain(18, 20_000, 9000)));
+      world.run(Duration.ofSeconds(1));
+      world.workers().at(0).setReachable(false);
+      finish(Duration.ofSeconds(40));
+      assertEquals(Optional.of(JobState.COMPLETE), world.state(job));
+    }
+
+    @Test
+    void workersThatStartAnewRunNothingTwice() {
+      JobId job = world.submit(Steps.queue(0, 2), List.of(Steps.plain(18, 20_000, 3000)));
+      world.run(Duration.ofSeconds(1));
+      world.workers().at(0).crash();
+      world.after(Duration.ofMillis(700), () -> world.workers().at(0).restart());
+      finish(Duration.ofSeconds(15));
+      assertEquals(Optional.of(JobState.COMPLETE), world.state(job));
+    }
+  }
+
+  @Nested
+  class UnderRandomFaults {
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void noPromiseBreaksAndAllJobsEnd(long seed) {
+      World faulty = World.create(seed, 12, SIZE, 4, 0.6);
+      Random random = new Random(seed);
+      List<JobId> jobs = new ArrayList<>();
+      for (int step = 0; step < 120; step++) {
+        faulty.run(Duration.ofMillis(random.nextInt(250)));
+        act(faulty, random, jobs);
+      }
+      calm(faulty);
+      for (int round = 0; round < 60 && (round < 5 || !faulty.unfinished().isEmpty()); round++) {
+        faulty.run(Duration.ofSeconds(1));
+        faulty.showAll();
+      }
+      assertEquals(List.of(), faulty.findings());
+      assertTrue(faulty.unfinished().isEmpty(), () -> "not ended: " + story(faulty));
+    }
+
+    /** Returns the last decisions about the first job that has not ended. */
+    private String story(World faulty) {
+      String job = faulty.unfinished().get(0).text();
+      List<String> lines =
+          faulty.decisions().stream()
+              .filter(line -> line.contains(job) || line.contains("recovered"))
+              .toList();
+      return String.join("\n", lines.subList(Math.max(0, lines.size() - 14), lines.size()));
+    }
+
+    private void act(World faulty, Random random, List<JobId> jobs) {
+      SimulatedWorker worker = faulty.workers().at(random.nextInt(faulty.workers().count()));
+      switch (random.nextInt(16)) {
+        case 0 -> worker.setReachable(false);
+        case 1 -> worker.setReachable(true);
+        case 2 -> worker.crash();
+        case 3 -> {
+          worker.crash();
+          worker.restart();
+        }
+        case 4 -> faulty.killScheduler();
+        case 5 -> faulty.electScheduler();
+        case 6 -> faulty.journal().setDown(random.nextBoolean());
+        case 7 -> faulty.journal().setLostAnswers(random.nextDouble() * 0.4);
+        case 8 -> faulty.orderFaults().setLate(random.nextDouble() * 0.2);
+        case 9 -> faulty.orderFaults().setLostAnswers(random.nextDouble() * 0.2);
+        case 10 -> {
+          if (!jobs.isEmpty()) {
+            faulty.cancel(jobs.get(random.nextInt(jobs.size())));
+          }
+        }
+        case 11 -> faulty.showAll();
+        case 12 -> worker.setFailsAll(random.nextBoolean());
+        default -> jobs.add(submit(faulty, random));
+      }
+    }
+
+    private JobId submit(World faulty, Random random) {
+      return switch (random.nextInt(3)) {
+        case 0 ->
+            faulty.submit(
+                Steps.advised(1, 300),
+                List.of(Steps.gang(1 + random.nextInt(6), 18_000, 500 + random.nextInt(3000))));
+        case 1 ->
+            faulty.submit(
+                Steps.queue(2, 4),
+                List.of(
+                    Steps.plain(1 + random.nextInt(12), 4000, 300 + random.nextInt(2000)),
+                    Steps.after(0, 2, 3000, 500)));
+        default -> faulty.submit(Steps.advised(0, 15), List.of(Steps.plain(2, 6000, 600)));
+      };
+    }
+
+    private void calm(World faulty) {
+      faulty.journal().setDown(false);
+      faulty.journal().setLostAnswers(0);
+      faulty.orderFaults().setLate(0);
+      faulty.orderFaults().setLostAnswers(0);
+      for (int place = 0; place < faulty.workers().count(); place++) {
+        SimulatedWorker worker = faulty.workers().at(place);
+        worker.setReachable(true);
+        worker.setFailsAll(false);
+        if (!worker.up()) {
+          worker.restart();
+        }
+      }
+      faulty.killScheduler();
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/Steps.java
@@ -0,0 +1,68 @@
+package org.hyssopport.testkit.world;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.job.AdvicePolicy;
+import org.hyssopport.engine.job.QueuePolicy;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.policy.Resources;
+
+/** Steps and queues for tests. */
+final class Steps {
+
+  private Steps() {}
+
+  static StepDefinition plain(int tasks, long milliProcessors, int millis) {
+    return step(tasks, milliProcessors, millis, false, List.of());
+  }
+
+  static StepDefinition gang(int tasks, long milliProcessors, int millis) {
+    return step(tasks, milliProcessors, millis, true, List.of());
+  }
+
+  static StepDefinition after(int earlier, int tasks, long milliProcessors, int millis) {
+    return step(tasks, milliProcessors, millis, false, List.of(earlier));
+  }
+
+  private static StepDefinition step(
+      int tasks, long milliProcessors, int millis, boolean gang, List<Integer> after) {
+    return new StepDefinition(
+        tasks,
+        new Resources(milliProcessors, 1000, 0),
+        Duration.ofMillis(millis),
+        after,
+        true,
+        gang,
+        false,
+        Optional.empty(),
+        Optional.empty(),
+        0,
+        false,
+        false);
+  }
+
+  static QueuePolicy queue(int priority, int attempts) {
+    return new QueuePolicy(
+        "queue-" + priority,
+        SimulatedWorkers.SERVICE,
+        priority,
+        attempts,
+        2,
+        Duration.ofSeconds(1),
+        Optional.empty());
+  }
+
+  static QueuePolicy advised(int priority, int decideMillis) {
+    return new QueuePolicy(
+        "advised-" + priority,
+        SimulatedWorkers.SERVICE,
+        priority,
+        4,
+        2,
+        Duration.ofSeconds(1),
+        Optional.of(
+            new AdvicePolicy(
+                Duration.ofMillis(decideMillis), Duration.ofMillis(1), Duration.ofMillis(1500))));
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/package-info.java
@@ -0,0 +1,2 @@
+/** The scheduler in virtual time, under loads and faults. */
+package org.hyssopport.testkit.world;
