--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerLooks.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerLooks.java
@@ -11,8 +11,10 @@
 /** Decides when to look at each worker, and what its silence means. */
 final class WorkerLooks {
 
-  /** The longest wait for an end that the platform allows. */
-  private static final int LONGEST_WAIT_MILLIS = 2000;
+  /**
+   * How long a look waits for an end; half of what the platform allows, as a lost one hides ends.
+   */
+  private static final int LONGEST_WAIT_MILLIS = 1000;
 
   /** How often a worker without runs is looked at, to keep its clock known within 0.1 s. */
   private static final Duration IDLE_INTERVAL = Duration.ofSeconds(5);
@@ -78,7 +80,7 @@
     } else if (result instanceof LookResult.Reported reported) {
       take(worker, reported.report(), looked);
     } else {
-      worker.lookUnanswered(now.plus(SILENCE_PAUSE));
+      worker.lookUnanswered(worker.unansweredLooks() == 0 ? now : now.plus(SILENCE_PAUSE));
       if (worker.unansweredLooks() == 1) {
         context.decided(
             "worker silent", "", Map.of("worker", worker.id(), "runs", worker.runs().size()));
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerHold.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerHold.java
@@ -21,6 +21,9 @@
   /** Covers the rounding of clocks to whole milliseconds and the way of one answer. */
   private static final Duration LAPSE_MARGIN = Duration.ofMillis(100);
 
+  /** One look may be lost on its way; a worker that misses two gets no new work. */
+  private static final int SILENT_LOOKS = 2;
+
   private final WorkerHealth health = WorkerHealth.create();
   private final Map<RunRef, HeldRun> runs = new LinkedHashMap<>();
   private WorkerDescription description;
@@ -29,6 +32,7 @@
   private Resources used = Resources.NONE;
   private Optional<WorkerClock> clock = Optional.empty();
   private long grantedUntil;
+  private final Instant inheritedUntil;
   private Instant lapsesAt;
   private long lastEnd;
   private long storedEnd;
@@ -38,9 +42,10 @@
   private Instant lastAnswerAt;
   private int unansweredLooks;
 
-  private WorkerHold(WorkerDescription description, Instant lapsesAt, Instant now) {
+  private WorkerHold(WorkerDescription description, Instant inheritedUntil, Instant now) {
     this.description = description;
-    this.lapsesAt = lapsesAt;
+    this.inheritedUntil = inheritedUntil;
+    this.lapsesAt = inheritedUntil;
     this.lastAnswerAt = now;
   }
 
@@ -95,7 +100,7 @@
 
   /** Tells whether new work may be placed on it. */
   public boolean takesWork() {
-    return read && listed && !description.draining() && unansweredLooks == 0;
+    return read && listed && !description.draining() && unansweredLooks < SILENT_LOOKS;
   }
 
   /** Returns the room that no run takes. */
@@ -171,7 +176,8 @@
 
   private void updateLapse() {
     if (read && clock.isPresent()) {
-      lapsesAt = clock.get().surelyPast(grantedUntil).plus(LAPSE_MARGIN);
+      Instant ownUntil = clock.get().surelyPast(grantedUntil).plus(LAPSE_MARGIN);
+      lapsesAt = ownUntil.isAfter(inheritedUntil) ? ownUntil : inheritedUntil;
     }
   }
 
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/worker/WorkerHoldTests.java
@@ -0,0 +1,67 @@
+package org.hyssopport.engine.worker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Set;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.policy.Resources;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** What a scheduler knows of a worker's lease. */
+class WorkerHoldTests {
+
+  private static final Instant NOW = Instant.parse("2026-12-04T06:00:00Z");
+  private static final Instant INHERITED = NOW.plusSeconds(9);
+
+  private final WorkerHold worker =
+      WorkerHold.unread(
+          new WorkerDescription(
+              new WorkerId("worker-1"),
+              1,
+              "127.0.0.1:1",
+              "booking",
+              new FailureDomain("ourthe"),
+              Resources.of(64, 1000, 0),
+              Set.of(),
+              "r1",
+              false),
+          INHERITED,
+          NOW);
+
+  @Nested
+  class AfterTakeOver {
+
+    @Test
+    void firstReportDoesNotEndInheritedLeases() {
+      worker.answered(482_113, NOW.plusMillis(20));
+      worker.markRead();
+      assertEquals(INHERITED, worker.lapsesAt());
+    }
+
+    @Test
+    void ownGrantsDoNotShortenInheritedLeases() {
+      worker.answered(482_113, NOW.plusMillis(20));
+      worker.markRead();
+      worker.granted(482_113 + 2000);
+      assertFalse(worker.lapsesAt().isBefore(INHERITED));
+    }
+  }
+
+  @Nested
+  class OnceItIsHeld {
+
+    @Test
+    void leaseIsOverWhenTheSlowestClockHasPassedIt() {
+      Instant later = INHERITED.plusSeconds(60);
+      worker.answered(100_000, later);
+      worker.markRead();
+      worker.granted(100_000 + 9800);
+      assertFalse(worker.lapsesAt().isBefore(later.plus(Duration.ofSeconds(10))));
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/worker/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what a scheduler knows of a worker. */
+package org.hyssopport.engine.worker;
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -89,6 +89,7 @@
     ConfigurationDuty configuration = new ConfigurationDuty(parts.store(), parts.log());
     seat = new SchedulerSeat(parts, this, this::answered);
     desk = new MemberDesk(parts, configuration, seat);
+    seat.onNewScheduler(desk::askAgain);
     link =
         FramedLink.open(
             new InetSocketAddress(settings.ip(), settings.peerPort()),
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
@@ -28,8 +28,8 @@
  */
 final class MemberDesk implements CallerDesk {
 
-  /** How long the scheduler is waited for; the journal repeats a failed append meanwhile. */
-  private static final Duration ASK_WITHIN = Duration.ofMillis(1200);
+  /** How long the scheduler is waited for; a store sixty times slower still answers within it. */
+  private static final Duration ASK_WITHIN = Duration.ofMillis(700);
 
   /** What is kept of a caller's time for the way of the answer. */
   private static final Duration ANSWER_RESERVE = Duration.ofMillis(150);
@@ -41,7 +41,7 @@
   private final SchedulerLink scheduler;
   private final AtomicLong lastNumber = new AtomicLong();
   private final AtomicInteger inFlight = new AtomicInteger();
-  private final Map<Long, CompletableFuture<CallerAnswer>> asked = new ConcurrentHashMap<>();
+  private final Map<Long, Waiting> asked = new ConcurrentHashMap<>();
   private volatile boolean leaving;
 
   MemberDesk(CellParts parts, ConfigurationDuty configuration, SchedulerLink scheduler) {
@@ -50,6 +50,8 @@
     this.scheduler = scheduler;
   }
 
+  private record Waiting(CallerRequest request, CompletableFuture<CallerAnswer> answer) {}
+
   /** The way to the scheduler, wherever it is. */
   interface SchedulerLink {
 
@@ -93,12 +95,17 @@
 
   /** Hands in an answer of the scheduler. */
   void answered(long number, CallerAnswer answer) {
-    CompletableFuture<CallerAnswer> waiting = asked.remove(number);
+    Waiting waiting = asked.remove(number);
     if (waiting != null) {
-      waiting.complete(answer);
+      waiting.answer().complete(answer);
     }
   }
 
+  /** Asks a scheduler that was just heard what its predecessor may not have answered. */
+  void askAgain() {
+    asked.forEach((number, waiting) -> scheduler.ask(number, waiting.request()));
+  }
+
   @Override
   public CallerAnswer ask(CallerRequest request, Instant deadline) {
     long begun = System.nanoTime();
@@ -132,7 +139,7 @@
   private CallerAnswer decide(CallerRequest request, Instant deadline) {
     long number = lastNumber.incrementAndGet();
     CompletableFuture<CallerAnswer> waiting = new CompletableFuture<>();
-    asked.put(number, waiting);
+    asked.put(number, new Waiting(request, waiting));
     boolean sent = scheduler.ask(number, request);
     try {
       if (sent) {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerRef;
@@ -30,10 +31,10 @@
   private static final int SEAT = 0;
 
   /** How often a member shows the store that it lives; a call counts a tenth there. */
-  private static final long JOIN_MILLIS = 400;
+  private static final long JOIN_MILLIS = 300;
 
   /** How long a member counts without joining: three joins lost, at least what the store takes. */
-  private static final Duration TIME_TO_LIVE = Duration.ofMillis(1400);
+  private static final Duration TIME_TO_LIVE = Duration.ofSeconds(1);
 
   /** How often members and scheduler exchange signs of life. */
   private static final long PRESENCE_MILLIS = 200;
@@ -41,8 +42,8 @@
   /** A scheduler that was silent for so long is looked for anew; three messages lost. */
   private static final Duration SILENCE = Duration.ofMillis(700);
 
-  /** How long a scheduler may go without the store before another member takes over. */
-  private static final Duration STORE_SILENCE = Duration.ofMillis(1500);
+  /** How long a scheduler may go without the store before another member takes over: two reads. */
+  private static final Duration STORE_SILENCE = Duration.ofMillis(700);
 
   /** How long a member without scheduler and store counts as ready. */
   private static final Duration READY_SILENCE = Duration.ofSeconds(3);
@@ -58,6 +59,8 @@
   private volatile boolean heardWithStore;
   private volatile Instant storeAnsweredAt = Instant.MIN;
   private volatile Map<String, Integer> pending = Map.of();
+  private volatile Set<String> memberAddresses = Set.of();
+  private volatile Runnable askAgain = () -> {};
   private volatile boolean leaving;
   private long generation;
   private boolean storeReached = true;
@@ -115,7 +118,9 @@
       term.get().present(sender, present.leaving());
       boolean storeWell = term.get().storeAnsweredWithin(STORE_SILENCE);
       members.send(
-          sender, new MemberMessage.Leading(term.get().term(), storeWell, term.get().pending()));
+          sender,
+          new MemberMessage.Leading(
+              term.get().term(), storeWell, term.get().pending(), term.get().members()));
     } else if (message instanceof MemberMessage.Ask ask && term.isPresent()) {
       boolean taken = term.get().ask(new CallerRef(sender, ask.number()), ask.request());
       if (!taken) {
@@ -134,7 +139,8 @@
     if (leads.term() < knownTerm || leading().isPresent()) {
       return;
     }
-    if (leads.term() > knownTerm) {
+    boolean newer = leads.term() > knownTerm;
+    if (newer) {
       parts.log().write("scheduler heard", Map.of("term", leads.term(), "address", sender));
     }
     knownTerm = leads.term();
@@ -142,6 +148,10 @@
     heardAt = parts.clock().instant();
     heardWithStore = leads.storeWell();
     pending = leads.pending();
+    memberAddresses = leads.members();
+    if (newer) {
+      askAgain.run();
+    }
   }
 
   /** Keeps this member in the group, and begins a term when that falls to it. */
@@ -189,7 +199,27 @@
 
   private void beginTerm() {
     own = SchedulerTerm.begin(parts, members, answers);
-    own.ifPresent(term -> knownTerm = Math.max(knownTerm, term.term()));
+    own.ifPresent(
+        term -> {
+          knownTerm = Math.max(knownTerm, term.term());
+          announce(term);
+          askAgain.run();
+        });
+  }
+
+  /** Shows the members that the last scheduler knew who the new one is. */
+  private void announce(SchedulerTerm term) {
+    for (String member : memberAddresses) {
+      if (!member.equals(self)) {
+        members.send(
+            member, new MemberMessage.Leading(term.term(), true, term.pending(), memberAddresses));
+      }
+    }
+  }
+
+  /** Sets what has to be done when another scheduler is heard. */
+  void onNewScheduler(Runnable action) {
+    askAgain = action;
   }
 
   /** Shows the scheduler that this member lives, and looks for it when it is silent. */
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -73,7 +73,7 @@
   private final LiveListDuty liveList;
   private final Map<String, Instant> presentMembers = new ConcurrentHashMap<>();
   private final List<Thread> threads = new ArrayList<>();
-  private Set<String> knownMembers = Set.of();
+  private volatile Set<String> knownMembers = Set.of();
   private volatile boolean ended;
   private volatile boolean recovered;
   private volatile Map<String, Integer> pending = Map.of();
@@ -201,6 +201,11 @@
     return tickets;
   }
 
+  /** Returns the addresses of all members that are heard. */
+  Set<String> members() {
+    return knownMembers;
+  }
+
   Map<String, Integer> pending() {
     return pending;
   }
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hyssopport.engine.job.StepId;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerAnswer;
@@ -42,8 +43,9 @@
    * @param term the scheduler's term
    * @param storeWell whether the store has answered the scheduler lately
    * @param pending how many jobs of each queue have not started
+   * @param members the addresses of all members that the scheduler hears
    */
-  record Leading(long term, boolean storeWell, Map<String, Integer> pending)
+  record Leading(long term, boolean storeWell, Map<String, Integer> pending, Set<String> members)
       implements MemberMessage {}
 
   /**
