The whole path as processes against stand-ins of the platform; jobs are shown without a scheduler

The store, workers and advice stand-ins speak the platform's protocol; members run as processes of their own and survive the kill of their scheduler, lost answers, dropped history and a store that is down. Members that can't reach the scheduler show jobs from the store; a scheduler that leaves hands over at once; lasting tasks start again however they end.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunKeeper.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunKeeper.java
@@ -243,7 +243,7 @@
     Task task = step.task(ref.task().index());
     boolean current =
         task.run() == ref.run() && task.worker().filter(worker.id()::equals).isPresent();
-    if (end.end() == RunEnd.DONE) {
+    if (end.end() == RunEnd.DONE && !step.definition().lasting()) {
       worker.health().succeeded();
       done(step, task, current);
     } else if (current) {
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalView.java
@@ -0,0 +1,101 @@
+package org.hyssopport.launcher.cell;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.platform.StoreFailure;
+import org.hyssopport.platform.StorePage;
+import org.hyssopport.platform.StoreRecord;
+
+/**
+ * The states of all jobs as the store has them, for members that can't reach the scheduler.
+ *
+ * <p>It is read only while it is asked for: each read is priced, and a member of a calm cell needs
+ * none.
+ */
+final class JournalView {
+
+  /** How old a state may be that is shown; a tenth of the time in which a change must show. */
+  private static final Duration FRESH = Duration.ofMillis(300);
+
+  private final CellParts parts;
+  private final Map<JobId, JobState> states = new HashMap<>();
+  private Optional<Long> next = Optional.empty();
+  private Instant readAt = Instant.MIN;
+
+  JournalView(CellParts parts) {
+    this.parts = parts;
+  }
+
+  /** What the store says of a job. */
+  enum Knowledge {
+    /** The store could not be read. */
+    UNREACHABLE,
+    /** The store was read and has no such job. */
+    ABSENT,
+    /** The job is known. */
+    KNOWN
+  }
+
+  /**
+   * A job as the store has it.
+   *
+   * @param knowledge what is known
+   * @param state its state, if it is known
+   */
+  record View(Knowledge knowledge, Optional<JobState> state) {}
+
+  /** Returns the state of a job, read from the store unless that was done just now. */
+  synchronized View state(JobId id) {
+    if (parts.clock().instant().isAfter(readAt.plus(FRESH)) && !refresh()) {
+      return new View(Knowledge.UNREACHABLE, Optional.empty());
+    }
+    Optional<JobState> state = Optional.ofNullable(states.get(id));
+    return new View(state.isPresent() ? Knowledge.KNOWN : Knowledge.ABSENT, state);
+  }
+
+  private boolean refresh() {
+    Either<StoreFailure, StorePage> page =
+        next.isEmpty()
+            ? parts.store().newest(JournalCodec.TOPIC)
+            : parts.store().read(JournalCodec.TOPIC, next.get(), Duration.ZERO);
+    if (page.isLeft()) {
+      parts.log().write("journal view not read", Map.of("detail", page.getLeft().detail()));
+      if (page.getLeft().kind() == StoreFailure.Kind.DROPPED) {
+        next = Optional.empty();
+      }
+      return false;
+    }
+    if (next.isEmpty()) {
+      states.clear();
+    }
+    take(page.get().records());
+    next = Optional.of(page.get().next());
+    readAt = parts.clock().instant();
+    return true;
+  }
+
+  private void take(List<StoreRecord> records) {
+    for (JournalEntry entry : JournalCodec.decodeAll(records, parts.log())) {
+      if (entry instanceof JournalEntry.Accepted) {
+        states.putIfAbsent(entry.job(), JobState.QUEUED);
+      } else if (entry instanceof JournalEntry.Progressed progressed) {
+        boolean begun = !progressed.progress().tasks().isEmpty();
+        JobState stored = progressed.progress().state();
+        states.put(entry.job(), begun && !stored.isOver() ? JobState.RUNNING : stored);
+      }
+    }
+    for (StoreRecord record : records) {
+      if (record.value().isEmpty() && !record.key().isEmpty()) {
+        JobId.parse(record.key().substring(1)).ifPresent(states::remove);
+      }
+    }
+  }
+}
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
@@ -39,6 +39,7 @@
   private final CellParts parts;
   private final ConfigurationDuty configuration;
   private final SchedulerLink scheduler;
+  private final JournalView journal;
   private final AtomicLong lastNumber = new AtomicLong();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Map<Long, Waiting> asked = new ConcurrentHashMap<>();
@@ -48,6 +49,7 @@
     this.parts = parts;
     this.configuration = configuration;
     this.scheduler = scheduler;
+    this.journal = new JournalView(parts);
   }
 
   private record Waiting(CallerRequest request, CompletableFuture<CallerAnswer> answer) {}
@@ -176,7 +178,22 @@
     if (request instanceof CallerRequest.Cancel cancel) {
       return store(new JournalEntry.Cancelled(cancel.job()), Verdict.CANCELLED, true);
     }
-    return CallerAnswer.later(Verdict.UNAVAILABLE, RETRY_AFTER);
+    return showStored(request);
+  }
+
+  private CallerAnswer showStored(CallerRequest request) {
+    JournalView.View view = journal.state(request.job());
+    parts
+        .log()
+        .write(
+            "shown without scheduler",
+            request.job().text(),
+            Map.of("knowledge", view.knowledge(), "state", view.state()));
+    return switch (view.knowledge()) {
+      case KNOWN -> CallerAnswer.state(view.state().orElseThrow());
+      case ABSENT -> CallerAnswer.of(Verdict.UNKNOWN_JOB);
+      case UNREACHABLE -> CallerAnswer.later(Verdict.UNAVAILABLE, RETRY_AFTER);
+    };
   }
 
   private CallerAnswer store(JournalEntry entry, Verdict verdict, boolean maybeTaken) {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
@@ -217,6 +217,17 @@
     }
   }
 
+  /** Ends the own term and lets the owner of the seat begin the next one at once. */
+  private void handOver(SchedulerTerm term) {
+    term.end("leaving");
+    for (String member : term.members()) {
+      if (!member.equals(self)) {
+        members.send(
+            member, new MemberMessage.Leading(term.term(), false, term.pending(), term.members()));
+      }
+    }
+  }
+
   /** Sets what has to be done when another scheduler is heard. */
   void onNewScheduler(Runnable action) {
     askAgain = action;
@@ -259,7 +270,7 @@
         address ->
             members.send(
                 address, new MemberMessage.Present(parts.settings().failureDomain(), true)));
-    leading().ifPresent(term -> term.end("leaving"));
+    leading().ifPresent(this::handOver);
     Either<StoreFailure, ?> left = parts.store().leave(GROUP, self);
     if (left.isLeft()) {
       parts.log().write("seat not given up", Map.of("detail", left.getLeft().detail()));
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/JsonServer.java
@@ -0,0 +1,123 @@
+package org.hyssopport.testkit.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** An HTTP server whose handlers take a call and return a reply. */
+final class JsonServer implements AutoCloseable {
+
+  static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final HttpServer server;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+
+  private JsonServer(HttpServer server) {
+    this.server = server;
+  }
+
+  /**
+   * A call.
+   *
+   * @param query the query's parameters
+   * @param body the body's bytes
+   * @param exchange the exchange, for headers
+   */
+  @SuppressWarnings("ArrayRecordComponent") // never compared
+  record Call(Map<String, String> query, byte[] body, HttpExchange exchange) {
+
+    JsonNode json() throws IOException {
+      return MAPPER.readTree(body);
+    }
+
+    long number(String name) {
+      return Long.parseLong(query.getOrDefault(name, "0"));
+    }
+  }
+
+  /**
+   * A reply.
+   *
+   * @param status the status; 0 to break the connection off without an answer
+   * @param body the body's bytes
+   */
+  @SuppressWarnings("ArrayRecordComponent") // never compared
+  record Reply(int status, byte[] body) {
+
+    static Reply json(int status, JsonNode node) {
+      return new Reply(status, node.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    static Reply empty(int status) {
+      return new Reply(status, new byte[0]);
+    }
+  }
+
+  /** Answers calls. */
+  interface Handler {
+    Reply answer(Call call) throws IOException, InterruptedException;
+  }
+
+  static JsonServer open(String host, int port) throws IOException {
+    HttpServer server = HttpServer.create(new InetSocketAddress(host, port), 0);
+    JsonServer opened = new JsonServer(server);
+    server.setExecutor(opened.threads);
+    server.start();
+    return opened;
+  }
+
+  void handle(String path, Handler handler) {
+    server.createContext(path, exchange -> serve(exchange, handler));
+  }
+
+  String address() {
+    return server.getAddress().getAddress().getHostAddress() + ":" + server.getAddress().getPort();
+  }
+
+  private static void serve(HttpExchange exchange, Handler handler) throws IOException {
+    try (exchange) {
+      byte[] body = exchange.getRequestBody().readAllBytes();
+      Call call = new Call(query(exchange.getRequestURI().getRawQuery()), body, exchange);
+      Reply reply = handler.answer(call);
+      if (reply.status() == 0) {
+        return;
+      }
+      exchange.sendResponseHeaders(
+          reply.status(), reply.body().length == 0 ? -1 : reply.body().length);
+      try (OutputStream out = exchange.getResponseBody()) {
+        out.write(reply.body());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static Map<String, String> query(String text) {
+    Map<String, String> query = new HashMap<>();
+    if (text != null) {
+      for (String pair : text.split("&", -1)) {
+        int equals = pair.indexOf('=');
+        query.put(
+            pair.substring(0, equals),
+            URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
+      }
+    }
+    return query;
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+}
--- /dev/null
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/MemberProcess.java
@@ -0,0 +1,112 @@
+package org.hyssopport.testkit.platform;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A member of a cell as a process of its own on a loopback address of its own.
+ *
+ * @since 0.2
+ */
+public final class MemberProcess implements AutoCloseable {
+
+  private static final int CALLER_PORT = 18_161;
+  private static final int READINESS_PORT = 18_167;
+  private static final int PEER_PORT = 17_720;
+
+  private final String ip;
+  private final Path log;
+  private final Process process;
+
+  private MemberProcess(String ip, Path log, Process process) {
+    this.ip = ip;
+    this.log = log;
+    this.process = process;
+  }
+
+  /**
+   * Starts a member.
+   *
+   * @param directory where its settings and its log are written
+   * @param number tells members apart; part of the address
+   * @param store the address of the store
+   * @param advice the address of the advice service
+   * @return the running member
+   * @throws IOException if it can't be started
+   */
+  public static MemberProcess start(Path directory, int number, String store, String advice)
+      throws IOException {
+    String ip = "127.0.31." + number;
+    Path settings = directory.resolve("member-" + number + ".json");
+    Files.writeString(settings, settings(ip, number, store, advice).toString());
+    Path log = directory.resolve("member-" + number + ".log");
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Dsun.net.httpserver.nodelay=true",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.hyssopport.console.Hyssopport",
+                "cell",
+                "--settings",
+                settings.toString()));
+    builder.redirectErrorStream(true).redirectOutput(log.toFile());
+    return new MemberProcess(ip, log, builder.start());
+  }
+
+  private static ObjectNode settings(String ip, int number, String store, String advice) {
+    ObjectNode node = JsonServer.MAPPER.createObjectNode();
+    node.put("node", "member-" + number).put("zone", "domain-" + number % 3).put("ip", ip);
+    node.putObject("listen")
+        .put("front", ip + ":" + CALLER_PORT)
+        .put("ready", ip + ":" + READINESS_PORT);
+    node.putArray("internalPorts").add(PEER_PORT).add(PEER_PORT + 15);
+    node.put("advice", advice);
+    node.putObject("platform").put("addr", store).put("ttlMinMs", 1000);
+    return node;
+  }
+
+  /** Returns where callers connect. */
+  public String callerAddress() {
+    return ip + ":" + CALLER_PORT;
+  }
+
+  /** Returns where readiness is asked for. */
+  public String readinessAddress() {
+    return ip + ":" + READINESS_PORT;
+  }
+
+  /** Returns what it has written so far. */
+  public String log() throws IOException {
+    return Files.readString(log);
+  }
+
+  /** Kills it without notice. */
+  public void kill() throws InterruptedException {
+    process.destroyForcibly().waitFor();
+  }
+
+  /** Asks it to leave and returns its exit code. */
+  public int stop() throws InterruptedException {
+    process.destroy();
+    return process.waitFor();
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+    try {
+      process.waitFor(10, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/RunHistory.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/RunHistory.java
@@ -52,7 +52,8 @@
     jobs.put(job, steps);
   }
 
-  StepDefinition step(RunRef ref) {
+  /** Returns what the caller declared for the step of a run. */
+  public StepDefinition step(RunRef ref) {
     StepId id = ref.task().step();
     return jobs.get(id.job()).get(id.step());
   }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
@@ -149,7 +149,8 @@
     leaseUntil = Instant.MIN;
   }
 
-  private long clockMillis() {
+  /** Returns its own steady clock. */
+  public long clockMillis() {
     return Duration.between(bornAt, time.now()).toMillis();
   }
 
@@ -175,7 +176,8 @@
     }
   }
 
-  OrderResult start(RunRef ref, StepDefinition step, long until, long orderFence) {
+  /** Carries out an order to start a run. */
+  public OrderResult start(RunRef ref, StepDefinition step, long until, long orderFence) {
     if (orderFence < fence) {
       return OrderResult.FENCED;
     }
@@ -242,7 +244,8 @@
     waiting.forEach(Runnable::run);
   }
 
-  OrderResult stop(RunRef ref, long orderFence) {
+  /** Carries out an order to stop a run. */
+  public OrderResult stop(RunRef ref, long orderFence) {
     if (orderFence < fence) {
       return OrderResult.FENCED;
     }
@@ -257,7 +260,7 @@
   }
 
   /** Takes a look; the answer waits for an end if there is none to list. */
-  void look(
+  public void look(
       Optional<Long> until,
       long acknowledged,
       int waitMillis,
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorkers.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorkers.java
@@ -87,7 +87,8 @@
     failures.put(job, runs);
   }
 
-  SimulatedWorker find(WorkerId id) {
+  /** Returns the worker of an id. */
+  public SimulatedWorker find(WorkerId id) {
     return workers.get(id);
   }
 
--- /dev/null
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformPathTests.java
@@ -0,0 +1,206 @@
+package org.hyssopport.testkit.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.policy.Resources;
+import org.hyssopport.testkit.world.SimulatedWorkers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Members as processes, between real callers and the platform's stand-ins. */
+class PlatformPathTests {
+
+  private static final int MEMBERS = 3;
+  private static final Duration PATIENCE = Duration.ofSeconds(60);
+
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(5))
+          .build();
+  private final List<MemberProcess> members = new ArrayList<>();
+  private StoreStandIn store;
+  private WorkersStandIn workers;
+  private int lastJob;
+
+  @TempDir Path directory;
+
+  @BeforeEach
+  void start() throws Exception {
+    store = StoreStandIn.open("127.0.31.100");
+    workers = WorkersStandIn.open("127.0.31.101", 6, Resources.of(64, 262_144, 0), store);
+    store.put("keyed.op", "config", configuration(3));
+    for (int number = 1; number <= MEMBERS; number++) {
+      members.add(MemberProcess.start(directory, number, store.address(), workers.address()));
+    }
+    for (MemberProcess member : members) {
+      await(() -> get(member.readinessAddress(), "/api/ready").statusCode() == 200);
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    members.forEach(MemberProcess::close);
+    workers.close();
+    store.close();
+  }
+
+  private static String configuration(int version) {
+    ObjectNode node = JsonServer.MAPPER.createObjectNode().put("version", version);
+    ObjectNode route = node.putArray("routes").addObject();
+    route.put("name", "plans").put("host", "127.0.31.1").put("prefix", "/plans/");
+    route.put("service", SimulatedWorkers.SERVICE).put("attempts", 2).put("stretch", 2.0);
+    route.put("sloMs", 1000);
+    route.putObject("advice").put("decideMs", 5).put("eachMs", 0.1).put("validMs", 1500);
+    return node.toString();
+  }
+
+  /** Repeats a check until it holds; the bound only ends a test that would hang. */
+  private static void await(Callable<Boolean> check) throws Exception {
+    long until = System.nanoTime() + PATIENCE.toNanos();
+    while (true) {
+      try {
+        if (check.call()) {
+          return;
+        }
+      } catch (IOException e) {
+        // Not listening yet, or killed; asked again below.
+      }
+      assertTrue(System.nanoTime() < until, "nothing came of it within " + PATIENCE);
+      Thread.sleep(50);
+    }
+  }
+
+  private HttpResponse<String> get(String address, String path) throws Exception {
+    return send(HttpRequest.newBuilder(URI.create("http://" + address + path)).GET());
+  }
+
+  private HttpResponse<String> send(HttpRequest.Builder request) throws Exception {
+    return client.send(
+        request.timeout(Duration.ofSeconds(10)).build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private HttpResponse<String> post(MemberProcess member, String path, String body)
+      throws Exception {
+    return send(
+        HttpRequest.newBuilder(URI.create("http://" + member.callerAddress() + path))
+            .POST(HttpRequest.BodyPublishers.ofString(body)));
+  }
+
+  /** Submits a job of some tasks until it is accepted; the route is that of the first member. */
+  private JobId submit(MemberProcess member, int tasks, int millis) throws Exception {
+    lastJob++;
+    JobId id = new JobId(String.format("%016x", lastJob));
+    ObjectNode body = JsonServer.MAPPER.createObjectNode().put("spec", "text");
+    ObjectNode step = body.putArray("steps").addObject();
+    step.put("count", tasks).put("cpu", 1000).put("memMb", 100).put("estMs", millis);
+    StepDefinition definition =
+        new StepDefinition(
+            tasks,
+            new Resources(1000, 100, 0),
+            Duration.ofMillis(millis),
+            List.of(),
+            false,
+            false,
+            false,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            false,
+            false);
+    workers.history().asked(id, List.of(definition));
+    await(() -> post(member, "/plans/" + id, body.toString()).statusCode() == 200);
+    return id;
+  }
+
+  private void awaitState(MemberProcess member, JobId id, String state) throws Exception {
+    await(() -> get(member.callerAddress(), "/plans/" + id).body().contains(state));
+  }
+
+  @Test
+  void jobsAreServedFromEndToEnd() throws Exception {
+    MemberProcess first = members.get(0);
+    JobId job = submit(first, 5, 200);
+    awaitState(first, job, "complete");
+    assertEquals(404, post(first, "/elsewhere/" + job, "{}").statusCode());
+    assertEquals(400, post(first, "/plans/no-id", "{}").statusCode());
+    assertEquals(400, post(first, "/plans/00000000000000ff", "[]").statusCode());
+    assertEquals(410, get(first.callerAddress(), "/plans/00000000000000ff").statusCode());
+    assertEquals("{\"pending\":0}", get(first.callerAddress(), "/plans/").body());
+    assertEquals(List.of(), workers.history().findings());
+  }
+
+  @Test
+  void jobsSurviveTheirSchedulers() throws Exception {
+    MemberProcess first = members.get(0);
+    List<JobId> jobs = new ArrayList<>();
+    for (int round = 0; round < 4; round++) {
+      jobs.add(submit(first, 4, 1500));
+    }
+    for (int place = 1; place < MEMBERS; place++) {
+      if (members.get(place).log().contains("term begun")) {
+        members.get(place).kill();
+      }
+    }
+    jobs.add(submit(first, 4, 300));
+    for (JobId job : jobs) {
+      awaitState(first, job, "complete");
+    }
+    assertEquals(List.of(), workers.history().findings());
+  }
+
+  @Test
+  void lostAnswersAndDroppedHistoryOfTheStoreLoseNothing() throws Exception {
+    MemberProcess first = members.get(0);
+    store.loseAnswers(3);
+    JobId job = submit(first, 3, 300);
+    store.compact("keyed.jobs");
+    store.compact("keyed.op");
+    store.put("keyed.op", "config", configuration(9));
+    JobId other = submit(first, 3, 300);
+    awaitState(first, job, "complete");
+    awaitState(first, other, "complete");
+    assertEquals(List.of(), workers.history().findings());
+  }
+
+  @Test
+  void nothingIsAcceptedWhileTheStoreIsDown() throws Exception {
+    MemberProcess first = members.get(0);
+    JobId running = submit(first, 2, 1000);
+    store.setDown(true);
+    await(
+        () -> {
+          HttpResponse<String> answer =
+              post(first, "/plans/00000000000000aa", "{\"steps\":[{\"count\":1}]}");
+          return answer.statusCode() == 503
+              && answer.headers().firstValue("Retry-After").isPresent();
+        });
+    store.setDown(false);
+    awaitState(first, running, "complete");
+    assertEquals(List.of(), workers.history().findings());
+  }
+
+  @Test
+  void membersLeaveWhenTheyAreAsked() throws Exception {
+    assertEquals(0, members.get(2).stop());
+    JobId job = submit(members.get(0), 2, 200);
+    awaitState(members.get(0), job, "complete");
+  }
+}
