--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
@@ -65,6 +65,9 @@
 
     /** Tells whether the scheduler or the store was heard lately. */
     boolean connected();
+
+    /** Tells whether the last call of the store by this member was answered. */
+    boolean storeReached();
   }
 
   @Override
@@ -183,6 +186,9 @@
    * @param maybeTaken whether the scheduler may have taken it
    */
   private CallerAnswer withoutScheduler(CallerRequest request, boolean maybeTaken) {
+    if (!maybeTaken && !scheduler.storeReached()) {
+      return CallerAnswer.later(Verdict.UNAVAILABLE, RETRY_AFTER);
+    }
     if (request instanceof CallerRequest.Submit submit) {
       return store(new JournalEntry.Accepted(submit.definition()), Verdict.ACCEPTED, maybeTaken);
     }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
@@ -45,8 +45,11 @@
   /** How long a scheduler may go without the store before another member takes over: two reads. */
   private static final Duration STORE_SILENCE = Duration.ofMillis(700);
 
-  /** How long a member without scheduler and store counts as ready. */
-  private static final Duration READY_SILENCE = Duration.ofSeconds(3);
+  /** How long a member without scheduler and store counts as ready; callers then go elsewhere. */
+  private static final Duration READY_SILENCE = Duration.ofSeconds(1);
+
+  /** How old a count of waiting jobs may be that is shown; the platform's bound is 2 s. */
+  private static final Duration COUNT_AGE = Duration.ofSeconds(2);
 
   private final CellParts parts;
   private final MemberPort members;
@@ -63,7 +66,7 @@
   private volatile Runnable askAgain = () -> {};
   private volatile boolean leaving;
   private long generation;
-  private boolean storeReached = true;
+  private volatile boolean storeReached = true;
 
   SchedulerSeat(CellParts parts, MemberPort members, BiConsumer<Long, CallerAnswer> answers) {
     this.parts = parts;
@@ -95,7 +98,7 @@
     if (term.isPresent()) {
       return Optional.of(term.get().pending());
     }
-    return heardWithin(READY_SILENCE) ? Optional.of(pending) : Optional.empty();
+    return heardWithin(COUNT_AGE) ? Optional.of(pending) : Optional.empty();
   }
 
   @Override
@@ -105,6 +108,11 @@
         || parts.clock().instant().isBefore(storeAnsweredAt.plus(READY_SILENCE));
   }
 
+  @Override
+  public boolean storeReached() {
+    return storeReached;
+  }
+
   private boolean heardWithin(Duration span) {
     return parts.clock().instant().isBefore(heardAt.plus(span));
   }
