A request that fell back to the store is not handed to a scheduler that is heard meanwhile

Ruled out: the append (no connection came about). Change: a request is either open to be asked again or falls back to the store, never both. Result: MemberDeskTests failed without the change (refused and taken) and passes with it.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberDesk.java
@@ -52,7 +52,16 @@
     this.journal = new JournalView(parts);
   }
 
-  private record Waiting(CallerRequest request, CompletableFuture<CallerAnswer> answer) {}
+  /** A request that waits for an answer, and whether a scheduler may have got it. */
+  private static final class Waiting {
+    private final CallerRequest request;
+    private final CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
+    private volatile boolean sent;
+
+    private Waiting(CallerRequest request) {
+      this.request = request;
+    }
+  }
 
   /** The way to the scheduler, wherever it is. */
   interface SchedulerLink {
@@ -102,13 +111,20 @@
   void answered(long number, CallerAnswer answer) {
     Waiting waiting = asked.remove(number);
     if (waiting != null) {
-      waiting.answer().complete(answer);
+      waiting.answer.complete(answer);
     }
   }
 
   /** Asks a scheduler that was just heard what its predecessor may not have answered. */
   void askAgain() {
-    asked.forEach((number, waiting) -> scheduler.ask(number, waiting.request()));
+    for (Long number : asked.keySet()) {
+      asked.computeIfPresent(number, this::send);
+    }
+  }
+
+  private Waiting send(long number, Waiting waiting) {
+    waiting.sent |= scheduler.ask(number, waiting.request);
+    return waiting;
   }
 
   @Override
@@ -143,19 +159,23 @@
 
   private CallerAnswer decide(CallerRequest request, Instant deadline) {
     long number = lastNumber.incrementAndGet();
-    CompletableFuture<CallerAnswer> waiting = new CompletableFuture<>();
-    asked.put(number, new Waiting(request, waiting));
-    boolean sent = scheduler.ask(number, request);
+    Waiting waiting = new Waiting(request);
+    asked.put(number, waiting);
+    asked.computeIfPresent(number, this::send);
     try {
-      if (!sent) {
+      if (!waiting.sent) {
+        // A scheduler that is heard from here on is not asked, so that a refusal stays true.
+        asked.remove(number);
+      }
+      if (!waiting.sent) {
         return withoutScheduler(request, false);
       }
       try {
-        return waiting.get(askMillis(deadline), TimeUnit.MILLISECONDS);
+        return waiting.answer.get(askMillis(deadline), TimeUnit.MILLISECONDS);
       } catch (TimeoutException e) {
         CallerAnswer answer = withoutScheduler(request, true);
         boolean open = answer.verdict() == Verdict.UNCERTAIN;
-        return open ? waiting.get(leftMillis(deadline), TimeUnit.MILLISECONDS) : answer;
+        return open ? waiting.answer.get(leftMillis(deadline), TimeUnit.MILLISECONDS) : answer;
       }
     } catch (TimeoutException e) {
       return CallerAnswer.of(Verdict.UNCERTAIN);
--- /dev/null
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberDeskTests.java
@@ -0,0 +1,164 @@
+package org.hyssopport.launcher.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.job.JobDefinition;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.QueuePolicy;
+import org.hyssopport.engine.scheduler.CallerAnswer;
+import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
+import org.hyssopport.engine.scheduler.CallerRequest;
+import org.hyssopport.engine.scheduler.SchedulerSettings;
+import org.hyssopport.platform.InstanceSettings;
+import org.hyssopport.platform.MetadataStore;
+import org.hyssopport.platform.WorkerGateway;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What callers are told while no scheduler is known. */
+class MemberDeskTests {
+
+  private static final CallerRequest SUBMIT =
+      new CallerRequest.Submit(
+          new JobDefinition(
+              new JobId("0123456789abcdef"),
+              new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
+              "",
+              List.of(),
+              0,
+              Instant.EPOCH,
+              Duration.ZERO,
+              Instant.EPOCH));
+
+  private final SteadyClock clock = new SteadyClock();
+  private final Link link = new Link();
+  private Runnable beforeRefusal = () -> {};
+  private HttpServer refusingStore;
+  private MemberDesk desk;
+
+  /** A way to a scheduler that is known or not. */
+  private static final class Link implements MemberDesk.SchedulerLink {
+    private boolean known;
+    private boolean storeReached = true;
+    private int taken;
+
+    @Override
+    public boolean ask(long number, CallerRequest request) {
+      taken += known ? 1 : 0;
+      return known;
+    }
+
+    @Override
+    public Optional<Map<String, Integer>> pending() {
+      return Optional.empty();
+    }
+
+    @Override
+    public boolean connected() {
+      return known;
+    }
+
+    @Override
+    public boolean storeReached() {
+      return storeReached;
+    }
+  }
+
+  @BeforeEach
+  void start() throws IOException {
+    refusingStore =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    refusingStore.createContext(
+        "/",
+        exchange -> {
+          exchange.getRequestBody().readAllBytes();
+          beforeRefusal.run();
+          exchange.sendResponseHeaders(503, -1);
+          exchange.close();
+        });
+    refusingStore.start();
+    InstanceSettings settings =
+        new InstanceSettings(
+            "member",
+            "ourthe",
+            "127.0.0.1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            1,
+            0,
+            1,
+            "127.0.0.1:" + refusingStore.getAddress().getPort(),
+            Optional.empty(),
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(10),
+            Duration.ofSeconds(3),
+            Duration.ofSeconds(1),
+            Duration.ofMinutes(2),
+            Duration.ofSeconds(6));
+    PrintStream nowhere =
+        new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
+    CellParts parts =
+        new CellParts(
+            settings,
+            SchedulerSettings.of(
+                settings.longestLease(),
+                settings.gangWindow(),
+                settings.stopLimit(),
+                settings.retention()),
+            MetadataStore.at(settings.storeAddress()),
+            WorkerGateway.create(),
+            clock,
+            DecisionLog.start("member", nowhere),
+            new CellMetrics(),
+            Threads.bounded("orders", 1, 1),
+            Threads.immediate("looks", 1));
+    desk = new MemberDesk(parts, new ConfigurationDuty(parts.store(), parts.log()), link);
+  }
+
+  @AfterEach
+  void stop() {
+    refusingStore.stop(0);
+  }
+
+  private CallerAnswer submit() {
+    return desk.ask(SUBMIT, clock.instant().plusSeconds(1));
+  }
+
+  @Test
+  void whatTheStoreRefusesIsSurelyNotDone() {
+    assertEquals(Verdict.UNAVAILABLE, submit().verdict());
+  }
+
+  @Test
+  void whatSchedulersTookMeanwhileIsNotRefused() {
+    beforeRefusal =
+        () -> {
+          link.known = true;
+          desk.askAgain();
+        };
+    boolean refused = submit().verdict() == Verdict.UNAVAILABLE;
+    assertFalse(refused && link.taken > 0);
+  }
+
+  @Test
+  void nothingIsTriedWhileTheStoreIsNotReached() {
+    link.storeReached = false;
+    beforeRefusal = () -> link.known = true;
+    assertEquals(Verdict.UNAVAILABLE, submit().verdict());
+    assertFalse(link.known);
+  }
+}
--- /dev/null
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of a member's duties. */
+package org.hyssopport.launcher.cell;
