Cancellations hold for jobs not seen yet; a duty that fails ends its term; readiness has threads of its own

Cause: reading the paths without a scheduler: a cancellation that met the scheduler before a job that another member had stored was answered 410, and the job ran. A thread of a term that died left a scheduler that decided nothing and kept its seat. Readiness shared its threads with callers.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -38,6 +38,11 @@
   /** When a caller should come back after the store could not be reached; its usual outage. */
   private static final Duration STORE_RETRY = Duration.ofSeconds(1);
 
+  /**
+   * Bounds what callers with unknown ids can make us keep; a moment's cancellations are far fewer.
+   */
+  private static final int MOST_CANCELLED_UNSEEN = 10_000;
+
   private final SchedulerContext context;
   private final JobBook jobs = new JobBook();
   private final WorkerBook workers = new WorkerBook();
@@ -46,6 +51,7 @@
   private final RunKeeper runs;
   private final PlacementPass placement;
   private final WorkerLooks looks;
+  private final Set<JobId> cancelledUnseen = new HashSet<>();
   private boolean recovered;
   private boolean storeWell = true;
   private Instant storeAnsweredAt = Instant.MIN;
@@ -336,6 +342,11 @@
   private void cancel(CallerRef caller, JobId id) {
     Optional<Job> known = jobs.find(id);
     if (known.isEmpty()) {
+      // Another member may have stored the job a moment ago.
+      if (cancelledUnseen.size() >= MOST_CANCELLED_UNSEEN) {
+        cancelledUnseen.clear();
+      }
+      cancelledUnseen.add(id);
       reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
       return;
     }
@@ -377,6 +388,9 @@
         jobs.add(stored(accepted.definition()));
         context.decided("accepted elsewhere", accepted.job(), Map.of());
       }
+      if (cancelledUnseen.remove(entry.job())) {
+        cancelIfKnown(entry.job());
+      }
     } else if (entry instanceof JournalEntry.Cancelled) {
       cancelIfKnown(entry.job());
     }
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -0,0 +1,123 @@
+package org.hyssopport.engine.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.job.JobDefinition;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.job.QueuePolicy;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
+import org.hyssopport.policy.Resources;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** What the scheduler answers and stores. */
+class CellSchedulerEventTests {
+
+  private static final Instant NOW = Instant.parse("2026-12-04T06:00:00Z");
+  private static final CallerRef CALLER = new CallerRef("member", 1);
+  private static final JobId ID = new JobId("0123456789abcdef");
+
+  private final CellScheduler scheduler =
+      CellScheduler.create(
+          SchedulerSettings.of(
+              Duration.ofSeconds(10),
+              Duration.ofSeconds(3),
+              Duration.ofSeconds(1),
+              Duration.ofMinutes(2)));
+
+  @BeforeEach
+  void recover() {
+    feed(new SchedulerEvent.Recovered(List.of(), List.of()));
+  }
+
+  private static JobDefinition job() {
+    StepDefinition step =
+        new StepDefinition(
+            1,
+            new Resources(1, 1, 0),
+            Duration.ofSeconds(1),
+            List.of(),
+            false,
+            false,
+            false,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            false,
+            false);
+    return new JobDefinition(
+        ID,
+        new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
+        "",
+        List.of(step),
+        0,
+        Instant.EPOCH,
+        Duration.ZERO,
+        NOW);
+  }
+
+  private List<SchedulerEffect> feed(SchedulerEvent event) {
+    List<SchedulerEffect> effects = new ArrayList<>(scheduler.handle(event, NOW, NOW));
+    effects.addAll(scheduler.decide(NOW, NOW));
+    return effects;
+  }
+
+  private List<SchedulerEffect> ask(CallerRequest request) {
+    return feed(new SchedulerEvent.CallerAsked(CALLER, request));
+  }
+
+  private static List<CallerAnswer> answers(List<SchedulerEffect> effects) {
+    List<CallerAnswer> answers = new ArrayList<>();
+    for (SchedulerEffect effect : effects) {
+      if (effect instanceof SchedulerEffect.Answer answer) {
+        answers.add(answer.answer());
+      }
+    }
+    return answers;
+  }
+
+  @Nested
+  class Submissions {
+
+    @Test
+    void areConfirmedOnlyOnceTheyAreStored() {
+      assertEquals(List.of(), answers(ask(new CallerRequest.Submit(job()))));
+      List<CallerAnswer> answers = answers(feed(new SchedulerEvent.JournalStored()));
+      assertEquals(Verdict.ACCEPTED, answers.get(0).verdict());
+    }
+
+    @Test
+    void areRefusedWithTimeToReturnWhenTheStoreRefusesThem() {
+      ask(new CallerRequest.Submit(job()));
+      CallerAnswer answer = answers(feed(new SchedulerEvent.JournalRefused())).get(0);
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+      assertTrue(answer.retryAfter().isPresent());
+      CallerAnswer shown = answers(ask(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Verdict.UNKNOWN_JOB, shown.verdict());
+    }
+  }
+
+  @Nested
+  class Cancellations {
+
+    @Test
+    void holdForJobsThatOtherMembersStoredAndThatWereNotSeenYet() {
+      assertEquals(
+          Verdict.UNKNOWN_JOB, answers(ask(new CallerRequest.Cancel(ID))).get(0).verdict());
+      feed(new SchedulerEvent.JournalSeen(List.of(new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalStored());
+      CallerAnswer shown = answers(ask(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+  }
+}
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the pure scheduler, event by event. */
+package org.hyssopport.engine.scheduler;
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -35,6 +35,9 @@
 
   private static final int CALLERS_WAITING = 512;
 
+  /** Readiness and metrics; apart, so that a crowd of callers does not make a member seem gone. */
+  private static final int OPERATOR_THREADS = 2;
+
   /** Orders in flight at once; a start takes a few milliseconds. */
   private static final int ORDER_THREADS = 24;
 
@@ -99,8 +102,9 @@
     Threads.start("membership", seat::joinAll);
     Threads.start("presence", seat::showPresence);
     ExecutorService callers = Threads.bounded("callers", CALLER_THREADS, CALLERS_WAITING);
-    door = CallerDoor.open(settings, desk, parts.clock(), callers);
-    metricsServer = parts.metrics().serve(settings.ip(), settings.metricsPort(), callers);
+    ExecutorService operators = Threads.bounded("operators", OPERATOR_THREADS, CALLERS_WAITING);
+    door = CallerDoor.open(settings, desk, parts.clock(), callers, operators);
+    metricsServer = parts.metrics().serve(settings.ip(), settings.metricsPort(), operators);
   }
 
   /**
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -1,10 +1,10 @@
 package org.hyssopport.launcher.cell;
 
+import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
@@ -37,6 +38,8 @@
 /** One term of this member as the scheduler: the threads around the pure scheduler. */
 final class SchedulerTerm {
 
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
   /** The topic in which terms are recorded; a record's offset gives its term. */
   static final String TOPIC = "keyed.scheduler";
 
@@ -72,7 +75,7 @@
   private final JournalWriter journal;
   private final LiveListDuty liveList;
   private final Map<String, Instant> presentMembers = new ConcurrentHashMap<>();
-  private final List<Thread> threads = new ArrayList<>();
+  private final List<Thread> threads = new CopyOnWriteArrayList<>();
   private volatile Set<String> knownMembers = Set.of();
   private volatile boolean ended;
   private volatile boolean recovered;
@@ -132,13 +135,27 @@
     ring.put(
         new SchedulerEvent.Recovered(
             JournalCodec.decodeAll(entries.get().records(), parts.log()), liveList.workers()));
-    threads.add(Threads.start("scheduler", this::decideAll));
-    threads.add(Threads.start("journal-writer", journal::run));
-    threads.add(Threads.start("journal-follower", this::followJournal));
-    threads.add(Threads.start("live-list", this::followLiveList));
+    startDuty("scheduler", this::decideAll);
+    startDuty("journal-writer", journal::run);
+    startDuty("journal-follower", this::followJournal);
+    startDuty("live-list", this::followLiveList);
     return true;
   }
 
+  /** Starts a duty of this term; one that fails ends the term, so that another one can begin. */
+  private void startDuty(String name, Runnable duty) {
+    Runnable guarded =
+        () -> {
+          try {
+            duty.run();
+          } catch (RuntimeException e) {
+            LOGGER.atSevere().withCause(e).log("duty %s of term %d failed", name, term);
+            end("duty " + name + " failed: " + e);
+          }
+        };
+    threads.add(Threads.start(name, guarded));
+  }
+
   long term() {
     return term;
   }
