Metrics stand once; unused members go; calls for advice end with their steps

Cause: reading the change as a newcomer: two classes built the same metrics, several accessors and two settings were used by nothing, and calls for advice of cancelled steps still took a member's time. Result: engine, platform, launcher and world tests pass.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceDesk.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceDesk.java
@@ -162,9 +162,4 @@
         .map(Map.Entry::getKey)
         .findFirst();
   }
-
-  /** Returns how many calls wait for a member. */
-  public int waitingCalls() {
-    return waiting.size();
-  }
 }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -12,7 +12,6 @@
 import org.hyssopport.engine.job.Job;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
-import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.job.StepRun;
 import org.hyssopport.engine.job.Task;
@@ -113,11 +112,6 @@
     return jobs.active().size();
   }
 
-  /** Returns how many runs take room on workers. */
-  public int heldRuns() {
-    return workers.all().stream().mapToInt(worker -> worker.runs().size()).sum();
-  }
-
   private boolean mayExtendLeases() {
     return context.now().isBefore(storeAnsweredAt.plus(context.settings().storeSilence()));
   }
@@ -244,7 +238,7 @@
             Set.of(),
             "",
             true);
-    WorkerHold absent = WorkerHold.unread(description, inheritedUntil(), context.now());
+    WorkerHold absent = WorkerHold.unread(description, inheritedUntil());
     absent.unlist();
     return absent;
   }
@@ -281,7 +275,7 @@
         return;
       }
     }
-    WorkerHold worker = WorkerHold.unread(description, inheritedUntil(), context.now());
+    WorkerHold worker = WorkerHold.unread(description, inheritedUntil());
     workers.put(worker);
     known.ifPresent(earlier -> runs.reborn(earlier, worker));
   }
@@ -420,9 +414,4 @@
       runs.stopAnswered(worker, order.run(), order.result());
     }
   }
-
-  /** Tells whether a job is shown as over; for tests of what callers see. */
-  Optional<JobState> shownState(JobId id) {
-    return jobs.find(id).map(Job::shownState);
-  }
 }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementPass.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementPass.java
@@ -56,14 +56,20 @@
   /** Places what can be placed, the most urgent first. */
   void run() {
     List<StepRun> ready = jobs.ready(context.timeOfDay());
-    advice.keySet().removeIf(step -> isOver(step));
-    reserved.keySet().removeIf(step -> isOver(step));
+    List<StepId> over = advice.keySet().stream().filter(this::isOver).toList();
+    over.forEach(this::forget);
     ready.sort(StepOrder.at(context.now()));
     for (StepRun step : ready) {
       place(step);
     }
   }
 
+  private void forget(StepId step) {
+    advice.remove(step);
+    reserved.remove(step);
+    desk.cancel(step);
+  }
+
   private boolean isOver(StepId id) {
     return jobs.step(id).map(step -> step.done() || step.job().isOver()).orElse(true);
   }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunKeeper.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunKeeper.java
@@ -29,9 +29,6 @@
   /** How often a start without an answer is sent again before the run is stopped. */
   private static final int MOST_STARTS = 3;
 
-  /** How long after its placement a start is still sent again; half of the gang window. */
-  private static final Duration RESEND_WINDOW = Duration.ofMillis(1500);
-
   /** How long a stop without an answer waits before it is sent again. */
   private static final Duration STOP_RESEND = Duration.ofMillis(400);
 
@@ -129,7 +126,9 @@
   }
 
   private void resendOrStop(WorkerHold worker, HeldRun held) {
-    boolean inTime = context.now().isBefore(held.placedAt().plus(RESEND_WINDOW));
+    // Half of the gang window is left for stopping the other members, or for starting anew.
+    Duration resendWithin = context.settings().gangWindow().dividedBy(2);
+    boolean inTime = context.now().isBefore(held.placedAt().plus(resendWithin));
     if (held.phase() == RunPhase.ORDERED && held.startsSent() < MOST_STARTS && inTime) {
       sendStart(worker, held);
     } else if (held.phase() == RunPhase.ORDERED) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerSettings.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerSettings.java
@@ -8,16 +8,11 @@
  * @param lease how long a worker runs on without hearing from the scheduler
  * @param storeSilence how long leases are extended while the store does not answer
  * @param gangWindow how long the members of a gang wait for each other
- * @param stopLimit how long a stop takes at most
  * @param retention how long an ended job's state is shown
  * @since 0.2
  */
 public record SchedulerSettings(
-    Duration lease,
-    Duration storeSilence,
-    Duration gangWindow,
-    Duration stopLimit,
-    Duration retention) {
+    Duration lease, Duration storeSilence, Duration gangWindow, Duration retention) {
 
   /** Outlasts a cut of the usual length, 5.5 s; a lost worker's tasks wait as long. */
   private static final Duration LEASE = Duration.ofSeconds(6);
@@ -27,9 +22,9 @@
 
   /** Returns settings with the platform's bounds. */
   public static SchedulerSettings of(
-      Duration longestLease, Duration gangWindow, Duration stopLimit, Duration retention) {
+      Duration longestLease, Duration gangWindow, Duration retention) {
     Duration lease = LEASE.compareTo(longestLease) < 0 ? LEASE : longestLease;
-    return new SchedulerSettings(lease, STORE_SILENCE, gangWindow, stopLimit, retention);
+    return new SchedulerSettings(lease, STORE_SILENCE, gangWindow, retention);
   }
 
   /** Returns how long a lease that another scheduler granted may last at a take-over. */
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerLooks.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerLooks.java
@@ -92,9 +92,7 @@
     if (report.incarnation() != looked.incarnation()) {
       WorkerHold next =
           WorkerHold.unread(
-              worker.description().startedAnew(report.incarnation()),
-              worker.lapsesAt(),
-              context.now());
+              worker.description().startedAnew(report.incarnation()), worker.lapsesAt());
       workers.put(next);
       runs.reborn(worker, next);
       return;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerHealth.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerHealth.java
@@ -47,7 +47,8 @@
     consecutiveFailures++;
     if (consecutiveFailures >= CONSECUTIVE_FAILURES) {
       pausedUntil = now.plus(pause);
-      pause = pause.multipliedBy(2).compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : doubled();
+      Duration doubled = pause.multipliedBy(2);
+      pause = doubled.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : doubled;
     }
   }
 
@@ -57,15 +58,6 @@
     pausedUntil = until.isAfter(pausedUntil) ? until : pausedUntil;
   }
 
-  private Duration doubled() {
-    return pause.multipliedBy(2);
-  }
-
-  /** Returns how many runs failed in a row. */
-  public int consecutiveFailures() {
-    return consecutiveFailures;
-  }
-
   /** Tells whether work may be placed, given how many runs the worker has already. */
   public boolean takesWork(Instant now, int runsThere) {
     if (now.isBefore(pausedUntil)) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerHold.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerHold.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.hyssopport.engine.platform.WorkerId;
@@ -39,14 +37,12 @@
   private long acknowledgedEnd;
   private boolean lookInFlight;
   private Instant nextLookAt = Instant.MIN;
-  private Instant lastAnswerAt;
   private int unansweredLooks;
 
-  private WorkerHold(WorkerDescription description, Instant inheritedUntil, Instant now) {
+  private WorkerHold(WorkerDescription description, Instant inheritedUntil) {
     this.description = description;
     this.inheritedUntil = inheritedUntil;
     this.lapsesAt = inheritedUntil;
-    this.lastAnswerAt = now;
   }
 
   /**
@@ -54,12 +50,10 @@
    *
    * @param description the worker
    * @param inheritedUntil when the last lease that an earlier scheduler could have granted is over
-   * @param now the local instant
    * @return the hold
    */
-  public static WorkerHold unread(
-      WorkerDescription description, Instant inheritedUntil, Instant now) {
-    return new WorkerHold(description, inheritedUntil, now);
+  public static WorkerHold unread(WorkerDescription description, Instant inheritedUntil) {
+    return new WorkerHold(description, inheritedUntil);
   }
 
   /** Returns the worker as it last described itself. */
@@ -136,27 +130,13 @@
     return true;
   }
 
-  /** Returns and removes all runs. */
-  public List<HeldRun> removeAll() {
-    List<HeldRun> removed = new ArrayList<>(runs.values());
-    runs.clear();
-    used = Resources.NONE;
-    return removed;
-  }
-
   /** Notes an answer that shows the worker's clock. */
   public void answered(long clockMillis, Instant now) {
     clock = Optional.of(WorkerClock.readAt(clockMillis, now));
-    lastAnswerAt = now;
     unansweredLooks = 0;
     updateLapse();
   }
 
-  /** Returns when it last answered, or when it was first heard of. */
-  public Instant lastAnswerAt() {
-    return lastAnswerAt;
-  }
-
   /** Notes that a report was read in this term. */
   public void markRead() {
     read = true;
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -30,10 +30,7 @@
   private final CellScheduler scheduler =
       CellScheduler.create(
           SchedulerSettings.of(
-              Duration.ofSeconds(10),
-              Duration.ofSeconds(3),
-              Duration.ofSeconds(1),
-              Duration.ofMinutes(2)));
+              Duration.ofSeconds(10), Duration.ofSeconds(3), Duration.ofMinutes(2)));
 
   @BeforeEach
   void recover() {
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/worker/WorkerHoldTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/worker/WorkerHoldTests.java
@@ -30,8 +30,7 @@
               Set.of(),
               "r1",
               false),
-          INHERITED,
-          NOW);
+          INHERITED);
 
   @Nested
   class AfterTakeOver {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -71,11 +71,7 @@
 
   private CellMember(InstanceSettings settings, PrintStream out) throws IOException {
     SchedulerSettings scheduling =
-        SchedulerSettings.of(
-            settings.longestLease(),
-            settings.gangWindow(),
-            settings.stopLimit(),
-            settings.retention());
+        SchedulerSettings.of(settings.longestLease(), settings.gangWindow(), settings.retention());
     parts =
         new CellParts(
             settings,
@@ -98,6 +94,13 @@
             new InetSocketAddress(settings.ip(), settings.peerPort()),
             this::receive,
             fault -> parts.log().write("peer link fault", Map.of("detail", fault)));
+    parts.metrics().gauge("hyssopport_cell_open_requests", "Callers that wait.", desk::inFlight);
+    parts
+        .metrics()
+        .gauge(
+            "hyssopport_cell_active_jobs",
+            "Jobs that are not over, at the scheduler.",
+            seat::activeJobs);
     Threads.start("configuration", configuration);
     Threads.start("membership", seat::joinAll);
     Threads.start("presence", seat::showPresence);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
@@ -3,61 +3,41 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
+import org.hyssopport.launcher.MetricRegistry;
 
 /** The metrics of one member. */
 final class CellMetrics {
 
-  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final MetricRegistry registry = MetricRegistry.create();
   private final Counter answers =
-      Counter.builder()
-          .name("hyssopport_cell_answers")
-          .help("Answers to callers by kind of request and verdict.")
-          .labelNames("request", "verdict")
-          .register(registry);
+      registry.counter(
+          "hyssopport_cell_answers",
+          "Answers to callers by kind of request and verdict.",
+          "request",
+          "verdict");
   private final Counter decisions =
-      Counter.builder()
-          .name("hyssopport_cell_decisions")
-          .help("Decisions of the scheduler by kind.")
-          .labelNames("decision")
-          .register(registry);
+      registry.counter(
+          "hyssopport_cell_decisions", "Decisions of the scheduler by kind.", "decision");
   private final Counter orders =
-      Counter.builder()
-          .name("hyssopport_cell_orders")
-          .help("Orders to workers by kind and result.")
-          .labelNames("order", "result")
-          .register(registry);
+      registry.counter(
+          "hyssopport_cell_orders", "Orders to workers by kind and result.", "order", "result");
   private final Histogram answerSeconds =
-      seconds("hyssopport_cell_answer_seconds", "Time from a caller's request to its answer.");
+      registry.seconds(
+          "hyssopport_cell_answer_seconds", "Time from a caller's request to its answer.");
   private final Histogram orderSeconds =
-      seconds("hyssopport_cell_order_seconds", "Time from an order to the worker's answer.");
+      registry.seconds(
+          "hyssopport_cell_order_seconds", "Time from an order to the worker's answer.");
   private final Histogram storeSeconds =
-      seconds("hyssopport_cell_store_seconds", "Time from a batch to its storage.");
-
-  private Histogram seconds(String name, String help) {
-    return Histogram.builder()
-        .name(name)
-        .help(help)
-        .classicOnly()
-        .classicUpperBounds(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
-        .register(registry);
-  }
+      registry.seconds("hyssopport_cell_store_seconds", "Time from a batch to its storage.");
 
   /** Registers a value that is read when the metrics are. */
   void gauge(String name, String help, LongSupplier value) {
-    GaugeWithCallback.builder()
-        .name(name)
-        .help(help)
-        .callback(callback -> callback.call((double) value.getAsLong()))
-        .register(registry);
+    registry.gauge(name, help, value);
   }
 
   void countAnswer(String request, String verdict, double seconds) {
@@ -90,11 +70,10 @@
   private void answer(HttpExchange exchange) throws IOException {
     try (exchange) {
       exchange.getRequestBody().readAllBytes();
-      ByteArrayOutputStream text = new ByteArrayOutputStream();
-      PrometheusTextFormatWriter.create().write(text, registry.scrape());
+      byte[] text = registry.text();
       exchange.getResponseHeaders().set("Content-Type", "text/plain; version=0.0.4");
-      exchange.sendResponseHeaders(200, text.size());
-      text.writeTo(exchange.getResponseBody());
+      exchange.sendResponseHeaders(200, text.length);
+      exchange.getResponseBody().write(text);
     }
   }
 }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/Rehearsal.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/Rehearsal.java
@@ -86,7 +86,6 @@
         Duration.ofSeconds(1),
         Duration.ofSeconds(10),
         Duration.ofSeconds(3),
-        Duration.ofSeconds(1),
         Duration.ofMinutes(2),
         Duration.ofSeconds(6));
   }
@@ -135,10 +134,7 @@
     CellScheduler scheduler =
         CellScheduler.create(
             SchedulerSettings.of(
-                Duration.ofSeconds(10),
-                Duration.ofSeconds(3),
-                Duration.ofSeconds(1),
-                Duration.ofMinutes(2)));
+                Duration.ofSeconds(10), Duration.ofSeconds(3), Duration.ofMinutes(2)));
     WorkerDescription worker =
         new WorkerDescription(
             new WorkerId("worker"),
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerSeat.java
@@ -162,6 +162,11 @@
     }
   }
 
+  /** Returns how many jobs this member owns as the scheduler. */
+  int activeJobs() {
+    return leading().map(SchedulerTerm::activeJobs).orElse(0);
+  }
+
   /** Keeps this member in the group, and begins a term when that falls to it. */
   void joinAll() {
     while (!leaving) {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -80,6 +80,7 @@
   private volatile boolean ended;
   private volatile boolean recovered;
   private volatile Map<String, Integer> pending = Map.of();
+  private volatile int activeJobs;
   private volatile Instant storeAnsweredAt;
 
   /** The incarnation of each listed worker, to which a new ticket belongs. */
@@ -223,6 +224,10 @@
     return knownMembers;
   }
 
+  int activeJobs() {
+    return activeJobs;
+  }
+
   Map<String, Integer> pending() {
     return pending;
   }
@@ -258,6 +263,7 @@
   private void tick() {
     execute(scheduler.handle(new SchedulerEvent.Ticked(), parts.clock().instant(), Instant.now()));
     pending = scheduler.pendingByQueue();
+    activeJobs = scheduler.activeJobs();
     Instant silentBefore = parts.clock().instant().minus(MEMBER_SILENCE);
     presentMembers.values().removeIf(silentBefore::isAfter);
     Set<String> now = new HashSet<>(presentMembers.keySet());
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberDeskTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberDeskTests.java
@@ -106,7 +106,6 @@
             Duration.ofSeconds(1),
             Duration.ofSeconds(10),
             Duration.ofSeconds(3),
-            Duration.ofSeconds(1),
             Duration.ofMinutes(2),
             Duration.ofSeconds(6));
     PrintStream nowhere =
@@ -115,10 +114,7 @@
         new CellParts(
             settings,
             SchedulerSettings.of(
-                settings.longestLease(),
-                settings.gangWindow(),
-                settings.stopLimit(),
-                settings.retention()),
+                settings.longestLease(), settings.gangWindow(), settings.retention()),
             MetadataStore.at(settings.storeAddress()),
             WorkerGateway.create(),
             clock,
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -68,7 +68,6 @@
             SchedulerSettings.of(
                 SimulatedWorkers.LONGEST_LEASE,
                 SimulatedWorkers.GANG_WINDOW,
-                SimulatedWorkers.STOP_TIME,
                 Duration.ofMinutes(2)));
   }
 
