Log and count what callers are told of waiting jobs, and answers that do not fit their request

Answers to a question for the number of waiting jobs left no line and no metric, and nothing recorded an answer that completed a request of another kind.

Change: 'pending jobs answered' with count, term and age of what is known; 'answer does not fit the request' with number, kind and verdict (the answer is still passed on: no logic changes here); 'recovered' tells how many jobs wait; the metric hyssopport_cell_answers counts questions for waiting jobs as request Pending.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerAnswer.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerAnswer.java
@@ -32,6 +32,17 @@
     /** No such job exists. */
     UNKNOWN_JOB;
 
+    /** Returns whether the verdict can be the answer to a request of this kind. */
+    public boolean answers(CallerRequest request) {
+      return switch (this) {
+        case ACCEPTED, REJECTED -> request instanceof CallerRequest.Submit;
+        case STATE -> request instanceof CallerRequest.Show;
+        case CANCELLED -> request instanceof CallerRequest.Cancel;
+        case UNKNOWN_JOB -> !(request instanceof CallerRequest.Submit);
+        case UNAVAILABLE, UNCERTAIN -> true;
+      };
+    }
+
     /** Returns whether the verdict says that the request had no effect. */
     public boolean isRefusal() {
       return this == REJECTED || this == UNAVAILABLE;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -216,6 +216,7 @@
         Map.of(
             "jobs", jobs.all().size(),
             "active", jobs.active().size(),
+            "pending", pendingByQueue().values().stream().mapToInt(Integer::intValue).sum(),
             "workers", recovery.workers().size()));
   }
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
@@ -47,6 +47,11 @@
     answerSeconds.observe(seconds);
   }
 
+  /** Counts an answer to a question for the number of waiting jobs. */
+  void countPendingAnswer(boolean known) {
+    answers.labelValues("Pending", known ? "STATE" : "UNAVAILABLE").inc();
+  }
+
   void countDecision(String decision) {
     decisions.labelValues(decision).inc();
   }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -112,7 +113,7 @@
     boolean trySend(long number, CallerRequest request);
 
     /** Returns how many jobs of each queue wait to start, or empty if no recent count is known. */
-    Optional<Map<String, Integer>> pendingByQueue();
+    Optional<PendingJobs> pendingJobs();
 
     /** Returns whether the scheduler or the store has answered recently enough to be ready. */
     boolean hasRecentContact();
@@ -149,13 +150,41 @@
 
   @Override
   public Optional<Integer> pendingJobs(String queue) {
-    return scheduler.pendingByQueue().map(counts -> counts.getOrDefault(queue, 0));
+    Optional<PendingJobs> pendingJobs = scheduler.pendingJobs();
+    Map<String, Object> inputs = new HashMap<>();
+    inputs.put("queue", queue);
+    inputs.put("known", pendingJobs.isPresent());
+    pendingJobs.ifPresent(
+        counts -> {
+          inputs.put("pending", counts.of(queue));
+          inputs.put("term", counts.term());
+          inputs.put(
+              "ageMillis",
+              Duration.between(counts.knownSince(), context.clock().instant()).toMillis());
+        });
+    context.log().write("pending jobs answered", inputs);
+    context.metrics().countPendingAnswer(pendingJobs.isPresent());
+    return pendingJobs.map(counts -> counts.of(queue));
   }
 
   /** Handles an answer of a scheduler to the request with the given number. */
   void onSchedulerAnswer(long number, CallerAnswer answer) {
     openRequests.computeIfPresent(
-        number, (key, openRequest) -> openRequest.completeIfFinal(answer) ? null : openRequest);
+        number,
+        (key, openRequest) -> {
+          if (!answer.verdict().answers(openRequest.request)) {
+            context
+                .log()
+                .write(
+                    "answer does not fit the request",
+                    openRequest.request.job().text(),
+                    Map.of(
+                        "number", number,
+                        "asked", openRequest.request.getClass().getSimpleName(),
+                        "verdict", answer.verdict()));
+          }
+          return openRequest.completeIfFinal(answer) ? null : openRequest;
+        });
   }
 
   /** Sends the open requests to a new scheduler, since its predecessor may never answer them. */
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -109,13 +109,15 @@
   }
 
   @Override
-  public Optional<Map<String, Integer>> pendingByQueue() {
+  public Optional<PendingJobs> pendingJobs() {
     Optional<SchedulerTerm> term = activeTerm();
     if (term.isPresent()) {
-      return Optional.of(term.get().pendingByQueue());
+      return Optional.of(
+          new PendingJobs(
+              term.get().term(), term.get().pendingByQueue(), context.clock().instant()));
     }
     return schedulerSeenWithin(MAXIMUM_PENDING_AGE)
-        ? Optional.of(pendingByQueue)
+        ? Optional.of(new PendingJobs(newestTerm, pendingByQueue, schedulerSeenAt))
         : Optional.empty();
   }
 
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
@@ -16,7 +16,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.hyssopport.engine.job.JobDefinition;
@@ -81,7 +80,7 @@
     }
 
     @Override
-    public Optional<Map<String, Integer>> pendingByQueue() {
+    public Optional<PendingJobs> pendingJobs() {
       return Optional.empty();
     }
 
