Tell no count of waiting jobs until a term has counted them

Cause: 'not counted yet' and 'none' were one value. A new term's counts were an empty map until its first tick, the announcement of the term carried that map to all members, and members answered a queue that is absent from it with 0, until the scheduler answered their next heartbeat up to 0.2 s later. Besides, the age of a count was taken from the arrival of any heartbeat and not from the count: a member that hands over marks the scheduler as just seen and would have answered from the map of an earlier term.

Change: PendingJobs exists only once a recovered scheduler has counted, and carries the moment of the count. Announcements carry no count. The answer to a heartbeat carries the count, its age and the time stated by the heartbeat, from which the receiver dates it, so that time on the way counts. While a new term counts, the last count stays in use until that age. The list of live members had the same flaw: a new term reported only itself; it now includes those of the last scheduler for the first second.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -124,10 +124,11 @@
   }
 
   /**
-   * Returns how many jobs of each queue have not started; jobs that run on a schedule are left out.
+   * Returns how many jobs of each queue have not started, or empty until the journal has been read.
+   * Jobs that run on a schedule are left out.
    */
-  public Map<String, Integer> pendingByQueue() {
-    return jobs.pendingByQueue();
+  public Optional<Map<String, Integer>> pendingByQueue() {
+    return recovered ? Optional.of(jobs.pendingByQueue()) : Optional.empty();
   }
 
   /** Returns how many jobs have not ended. */
@@ -216,7 +217,7 @@
         Map.of(
             "jobs", jobs.all().size(),
             "active", jobs.active().size(),
-            "pending", pendingByQueue().values().stream().mapToInt(Integer::intValue).sum(),
+            "pending", jobs.pendingByQueue().values().stream().mapToInt(Integer::intValue).sum(),
             "workers", recovery.workers().size()));
   }
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
@@ -184,8 +184,12 @@
         MessagePackCodec.of(MemberMessage.MemberEnvelope.class);
     List<MemberMessage> messages =
         List.of(
-            new MemberMessage.MemberHeartbeat("nowhere", false, true),
-            new MemberMessage.LeaderHeartbeat(1, true, Map.of("queue", 1), Set.of("member")),
+            new MemberMessage.MemberHeartbeat("nowhere", false, true, 1),
+            new MemberMessage.LeaderHeartbeat(
+                1,
+                true,
+                Optional.of(new MemberMessage.PendingCount(Map.of("queue", 1), 1, 1)),
+                Set.of("member")),
             new MemberMessage.ForwardedRequest(1, new CallerRequest.Submit(sampleJob())),
             new MemberMessage.ForwardedRequest(1, new CallerRequest.Show(sampleJob().id())),
             new MemberMessage.ForwardedAnswer(1, CallerAnswer.of(CallerAnswer.Verdict.ACCEPTED)));
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -160,7 +160,7 @@
           inputs.put("term", counts.term());
           inputs.put(
               "ageMillis",
-              Duration.between(counts.knownSince(), context.clock().instant()).toMillis());
+              Duration.between(counts.countedAt(), context.clock().instant()).toMillis());
         });
     context.log().write("pending jobs answered", inputs);
     context.metrics().countPendingAnswer(pendingJobs.isPresent());
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -4,10 +4,12 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.engine.scheduler.CallerRequestId;
@@ -70,7 +72,7 @@
   private volatile boolean schedulerReachedStore;
   private volatile boolean lastSchedulerAnswered;
   private volatile Instant storeAnsweredAt = Instant.MIN;
-  private volatile Map<String, Integer> pendingByQueue = Map.of();
+  private volatile Optional<PendingJobs> reportedPendingJobs = Optional.empty();
   private volatile Set<String> memberAddresses = Set.of();
   private volatile Runnable newSchedulerListener = () -> {};
   private final ElectionPolicy policy;
@@ -110,15 +112,11 @@
 
   @Override
   public Optional<PendingJobs> pendingJobs() {
-    Optional<SchedulerTerm> term = activeTerm();
-    if (term.isPresent()) {
-      return Optional.of(
-          new PendingJobs(
-              term.get().term(), term.get().pendingByQueue(), context.clock().instant()));
-    }
-    return schedulerSeenWithin(MAXIMUM_PENDING_AGE)
-        ? Optional.of(new PendingJobs(newestTerm, pendingByQueue, schedulerSeenAt))
-        : Optional.empty();
+    Instant now = context.clock().instant();
+    return Stream.of(ownTerm.flatMap(SchedulerTerm::pendingJobs), reportedPendingJobs)
+        .flatMap(Optional::stream)
+        .filter(counts -> counts.isCountedWithin(MAXIMUM_PENDING_AGE, now))
+        .max(Comparator.comparing(PendingJobs::countedAt));
   }
 
   @Override
@@ -152,12 +150,15 @@
       term.get().onMemberHeartbeat(sender, memberHeartbeat.leaving());
       betterSuitedMemberSeen |= memberHeartbeat.betterSuited();
       boolean reachesStore = term.get().storeAnsweredWithin(STORE_TIMEOUT);
+      Instant now = context.clock().instant();
       transport.send(
           sender,
           new MemberMessage.LeaderHeartbeat(
               term.get().term(),
               reachesStore,
-              term.get().pendingByQueue(),
+              term.get()
+                  .pendingJobs()
+                  .map(counts -> counts.toMessage(memberHeartbeat.sentAtMillis(), now)),
               term.get().liveMembers()));
     } else if (message instanceof MemberMessage.MemberHeartbeat) {
       transport.send(sender, new MemberMessage.NotLeading(newestTerm));
@@ -197,7 +198,11 @@
     schedulerSeenAt = context.clock().instant();
     lastSchedulerAnswered = true;
     schedulerReachedStore = heartbeat.storeWell();
-    pendingByQueue = heartbeat.pending();
+    // Without a count, the last one remains in use until it is too old.
+    heartbeat
+        .pending()
+        .map(count -> PendingJobs.fromMessage(heartbeat.term(), count))
+        .ifPresent(counts -> reportedPendingJobs = Optional.of(counts));
     memberAddresses = heartbeat.members();
     if (newTerm) {
       newSchedulerListener.run();
@@ -330,7 +335,7 @@
   }
 
   private void beginTerm() {
-    ownTerm = SchedulerTerm.begin(context, transport, localAnswerSink);
+    ownTerm = SchedulerTerm.begin(context, memberAddresses, transport, localAnswerSink);
     ownTerm.ifPresent(
         term -> {
           newestTerm = Math.max(newestTerm, term.term());
@@ -346,7 +351,7 @@
         transport.send(
             member,
             new MemberMessage.LeaderHeartbeat(
-                term.term(), true, term.pendingByQueue(), memberAddresses));
+                term.term(), true, Optional.empty(), memberAddresses));
       }
     }
   }
@@ -362,7 +367,7 @@
         transport.send(
             member,
             new MemberMessage.LeaderHeartbeat(
-                term.term(), false, term.pendingByQueue(), term.liveMembers()));
+                term.term(), false, Optional.empty(), term.liveMembers()));
       }
     }
   }
@@ -396,7 +401,10 @@
   private MemberMessage.MemberHeartbeat heartbeat() {
     boolean betterSuited = policy.hasRequiredProcessors() && storeAvailable && !leaving;
     return new MemberMessage.MemberHeartbeat(
-        context.settings().failureDomain(), leaving, betterSuited);
+        context.settings().failureDomain(),
+        leaving,
+        betterSuited,
+        context.clock().instant().toEpochMilli());
   }
 
   private void readSchedulerAddress() {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -85,10 +85,12 @@
   private final LiveWorkerCache liveWorkers;
   private final Map<String, Instant> memberLastSeen = new ConcurrentHashMap<>();
   private final List<Thread> threads = new CopyOnWriteArrayList<>();
+  private final Set<String> inheritedMembers;
+  private final Instant inheritedMembersUntil;
   private volatile Set<String> liveMembers = Set.of();
   private volatile boolean ended;
   private volatile boolean recovered;
-  private volatile Map<String, Integer> pendingByQueue = Map.of();
+  private volatile Optional<PendingJobs> pendingJobs = Optional.empty();
   private volatile int activeJobs;
   private volatile Instant storeAnsweredAt;
 
@@ -98,9 +100,12 @@
   private SchedulerTerm(
       MemberContext context,
       long term,
+      Set<String> inheritedMembers,
       MemberTransport transport,
       BiConsumer<Long, CallerAnswer> localAnswerSink) {
     this.context = context;
+    this.inheritedMembers = inheritedMembers;
+    this.inheritedMembersUntil = context.clock().instant().plus(MEMBER_TIMEOUT);
     this.selfAddress = context.settings().peerAddress();
     this.term = term;
     this.transport = transport;
@@ -116,12 +121,14 @@
    * Begins a term: records it in the store, fences older terms and reads the journal.
    *
    * @param context what the components of the member share
+   * @param inheritedMembers the addresses of the members that the last scheduler listed
    * @param transport sends messages to members
    * @param localAnswerSink receives the answers to requests that this member's callers sent
    * @return the term, or nothing if one of these calls of the store failed
    */
   static Optional<SchedulerTerm> begin(
       MemberContext context,
+      Set<String> inheritedMembers,
       MemberTransport transport,
       BiConsumer<Long, CallerAnswer> localAnswerSink) {
     byte[] address = context.settings().peerAddress().getBytes(StandardCharsets.UTF_8);
@@ -138,7 +145,7 @@
       return Optional.empty();
     }
     SchedulerTerm newTerm =
-        new SchedulerTerm(context, offset.get() + 1, transport, localAnswerSink);
+        new SchedulerTerm(context, offset.get() + 1, inheritedMembers, transport, localAnswerSink);
     return newTerm.recover() ? Optional.of(newTerm) : Optional.empty();
   }
 
@@ -251,17 +258,27 @@
     return tickets;
   }
 
-  /** Returns the addresses of the members with recent heartbeats, and of this one. */
+  /**
+   * Returns the addresses of the members with recent heartbeats, and of this one. Until all members
+   * have had the time to send a heartbeat, those that the last scheduler listed are included.
+   */
   Set<String> liveMembers() {
-    return liveMembers;
+    if (!context.clock().instant().isBefore(inheritedMembersUntil)) {
+      return liveMembers;
+    }
+    Set<String> members = new HashSet<>(inheritedMembers);
+    members.addAll(liveMembers);
+    members.add(selfAddress);
+    return members;
   }
 
   int activeJobs() {
     return activeJobs;
   }
 
-  Map<String, Integer> pendingByQueue() {
-    return pendingByQueue;
+  /** Returns how many jobs wait to start, or empty until the recovered scheduler has counted. */
+  Optional<PendingJobs> pendingJobs() {
+    return pendingJobs;
   }
 
   private void enqueue(SchedulerEvent event) {
@@ -298,7 +315,10 @@
   private void tick() {
     execute(
         scheduler.handle(new SchedulerEvent.Ticked(), context.clock().instant(), Instant.now()));
-    pendingByQueue = scheduler.pendingByQueue();
+    pendingJobs =
+        scheduler
+            .pendingByQueue()
+            .map(byQueue -> new PendingJobs(term, byQueue, context.clock().instant()));
     activeJobs = scheduler.activeJobs();
     Instant silentBefore = context.clock().instant().minus(MEMBER_TIMEOUT);
     memberLastSeen.values().removeIf(silentBefore::isAfter);
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -38,8 +38,11 @@
    * @param leaving whether the sender is shutting down
    * @param betterSuited whether the sender has the resources that a scheduler needs and reaches the
    *     store
+   * @param sentAtMillis when it was sent, in milliseconds of the sender's clock; the answer repeats
+   *     it
    */
-  record MemberHeartbeat(String failureDomain, boolean leaving, boolean betterSuited)
+  record MemberHeartbeat(
+      String failureDomain, boolean leaving, boolean betterSuited, long sentAtMillis)
       implements MemberMessage {}
 
   /**
@@ -48,13 +51,23 @@
    * @param term the sender's term as scheduler
    * @param storeWell whether the store has answered the scheduler recently; always false if the
    *     scheduler hands over leadership
-   * @param pending the number of jobs that have not started, by the name of the queue
+   * @param pending how many jobs have not started; empty if the scheduler has not counted them yet,
+   *     or if the message answers no heartbeat
    * @param members the addresses of all members that the scheduler considers live
    */
   record LeaderHeartbeat(
-      long term, boolean storeWell, Map<String, Integer> pending, Set<String> members)
+      long term, boolean storeWell, Optional<PendingCount> pending, Set<String> members)
       implements MemberMessage {}
 
+  /**
+   * How many jobs have not started, in the answer to a heartbeat.
+   *
+   * @param byQueue the number of jobs by the name of the queue; a queue that is absent has none
+   * @param ageMillis how long before the answer they were counted, in milliseconds
+   * @param heartbeatSentAtMillis the time that the heartbeat stated, by the clock of its sender
+   */
+  record PendingCount(Map<String, Integer> byQueue, long ageMillis, long heartbeatSentAtMillis) {}
+
   /**
    * Answers a heartbeat that reached a member that is not the scheduler.
    *
