Test how long a member answers from a count of waiting jobs

Cause: the end-to-end test of MIXED shows the announcement of a term; the age of a count, which had been taken from the arrival of any heartbeat, had no test. Change: SchedulerElectionTests in virtual time; MemberContext takes any InstantSource as its clock.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberContext.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberContext.java
@@ -1,5 +1,6 @@
 package org.hyssopport.launcher.cell;
 
+import java.time.InstantSource;
 import java.util.concurrent.ExecutorService;
 import org.hyssopport.engine.scheduler.SchedulerSettings;
 import org.hyssopport.platform.InstanceSettings;
@@ -24,7 +25,7 @@
     SchedulerSettings schedulerSettings,
     MetadataStore store,
     WorkerGateway workerGateway,
-    MonotonicClock clock,
+    InstantSource clock,
     DecisionLog log,
     CellMetrics metrics,
     ExecutorService orderExecutor,
--- /dev/null
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
@@ -0,0 +1,146 @@
+package org.hyssopport.launcher.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopport.engine.scheduler.SchedulerSettings;
+import org.hyssopport.platform.InstanceSettings;
+import org.hyssopport.platform.MetadataStore;
+import org.hyssopport.platform.WorkerGateway;
+import org.hyssopport.protocol.MemberMessage;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests what a member knows from the heartbeats of schedulers. */
+class SchedulerElectionTests {
+
+  private static final String SCHEDULER = "127.0.0.1:2";
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+  private Instant now = START;
+  private SchedulerElection election;
+
+  @BeforeEach
+  void createElection() {
+    InstanceSettings settings =
+        new InstanceSettings(
+            "member",
+            "ourthe",
+            "127.0.0.1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            1,
+            0,
+            1,
+            "127.0.0.1:1",
+            Optional.empty(),
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(10),
+            Duration.ofSeconds(3),
+            Duration.ofMinutes(2),
+            Duration.ofSeconds(6));
+    MemberContext context =
+        new MemberContext(
+            settings,
+            SchedulerSettings.of(
+                settings.longestLease(), settings.gangWindow(), settings.retention()),
+            MetadataStore.at(settings.storeAddress()),
+            WorkerGateway.create(),
+            () -> now,
+            DecisionLog.start(
+                "member",
+                new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8)),
+            new CellMetrics(),
+            Threads.bounded("orders", 1, 1),
+            Threads.immediate("looks", 1));
+    MemberTransport transport =
+        new MemberTransport() {
+          @Override
+          public void send(String address, MemberMessage message) {}
+
+          @Override
+          public void reconnect(String address) {}
+        };
+    election = new SchedulerElection(context, transport, (number, answer) -> {});
+  }
+
+  private void receiveHeartbeat(long term, Optional<MemberMessage.PendingCount> pending) {
+    election.receive(
+        SCHEDULER, new MemberMessage.LeaderHeartbeat(term, true, pending, Set.of(SCHEDULER)));
+  }
+
+  private static Optional<MemberMessage.PendingCount> fivePlans(
+      Instant heartbeatSentAt, long ageMillis) {
+    return Optional.of(
+        new MemberMessage.PendingCount(
+            Map.of("plans", 5), ageMillis, heartbeatSentAt.toEpochMilli()));
+  }
+
+  private Optional<Integer> pendingPlans() {
+    return election.pendingJobs().map(counts -> counts.of("plans"));
+  }
+
+  /** The number of waiting jobs, which is not known at every moment. */
+  @Nested
+  class PendingJobCounts {
+
+    // Guards against answering "none" from the announcement of a term that has not counted yet.
+    @Test
+    void areUnknownUntilASchedulerHasCounted() {
+      receiveHeartbeat(1, Optional.empty());
+      assertEquals(Optional.empty(), pendingPlans());
+    }
+
+    @Test
+    void areThoseThatTheSchedulerReported() {
+      receiveHeartbeat(1, fivePlans(START, 0));
+      assertEquals(Optional.of(5), pendingPlans());
+    }
+
+    @Test
+    void remainInUseWhileTheNextTermHasNotCounted() {
+      receiveHeartbeat(1, fivePlans(START, 0));
+      now = START.plusMillis(900);
+      receiveHeartbeat(2, Optional.empty());
+      assertEquals(Optional.of(5), pendingPlans());
+    }
+
+    // Guards against dating a count from a heartbeat that carries none.
+    @Test
+    void expireAlthoughHeartbeatsWithoutACountArrive() {
+      receiveHeartbeat(1, fivePlans(START, 0));
+      now = START.plusMillis(1900);
+      receiveHeartbeat(2, Optional.empty());
+      now = START.plusMillis(2000);
+      assertEquals(Optional.empty(), pendingPlans());
+    }
+
+    @Test
+    void areUnknownIfTheAnswerToTheHeartbeatWasDelayedForTooLong() {
+      now = START.plusMillis(2000);
+      receiveHeartbeat(1, fivePlans(START, 0));
+      assertEquals(Optional.empty(), pendingPlans());
+    }
+
+    @Test
+    void areUnknownIfTheSchedulerCountedTooLongAgo() {
+      receiveHeartbeat(1, fivePlans(START, 2000));
+      assertEquals(Optional.empty(), pendingPlans());
+    }
+
+    @Test
+    void areNotTakenFromAnEarlierTerm() {
+      receiveHeartbeat(2, Optional.empty());
+      receiveHeartbeat(1, fivePlans(START, 0));
+      assertEquals(Optional.empty(), pendingPlans());
+    }
+  }
+}
