Number requests so that a restarted member takes no answer of its earlier process

Every process numbered its requests from 1, so the owed answer to request 1 of the killed process completed request 1 of the new one. An answer that can't belong to its request (Verdict.answers) was only logged.

Fix: a process numbers its requests from the wall-clock time in nanoseconds at its start, so that it starts above all numbers of earlier processes; after a clock was set back, two processes share a number only if their starts lie fewer nanoseconds apart on that clock than one of them has numbered requests. An answer below the first number is dropped and logged as "answer to an earlier process dropped". An answer that can't belong to its request completes nothing and counts as no refusal: the request stays open for its own answer, and is uncertain at its deadline.

Tests that change: those of ForwardingRequestHandlerTests that answered request number 1 now answer the number that the handler sent. They relied on the numbering that is the fault; they check the same verdicts for the same answers as before. The store stand-in can hold the appends of a topic and release them one by one.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -29,6 +29,12 @@
  * <p>A job that is accepted or cancelled without a scheduler is recorded in the journal, where the
  * next scheduler reads it.
  *
+ * <p>A scheduler sends an answer to the member's address, and may owe it until after the member was
+ * killed and started again there. Requests are therefore numbered from the wall-clock time in
+ * nanoseconds at which the handler was created: a later process starts above all numbers of an
+ * earlier one, unless the clock was set back. Even then, the two share a number only if their
+ * starts lie fewer nanoseconds apart on that clock than one of them has numbered requests.
+ *
  * <p>A request occupies the thread that calls {@link #handle} until it is answered. {@link
  * SchedulerElection} reports the answers of schedulers on other threads.
  */
@@ -46,7 +52,8 @@
   private final ConfigurationFollower configurationFollower;
   private final SchedulerClient scheduler;
   private final JobStateCache jobStates;
-  private final AtomicLong lastRequestNumber = new AtomicLong();
+  private final long numbersBegin = wallClockNanos();
+  private final AtomicLong lastRequestNumber = new AtomicLong(numbersBegin);
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Map<Long, OpenRequest> openRequests = new ConcurrentHashMap<>();
   private volatile boolean leaving;
@@ -61,6 +68,11 @@
     this.jobStates = new JobStateCache(context);
   }
 
+  private static long wallClockNanos() {
+    Instant now = Instant.now();
+    return TimeUnit.SECONDS.toNanos(now.getEpochSecond()) + now.getNano();
+  }
+
   /**
    * A request that waits for an answer.
    *
@@ -167,26 +179,47 @@
     return pendingJobs.map(counts -> counts.of(queue));
   }
 
-  /** Handles an answer of a scheduler to the request with the given number. */
+  /**
+   * Handles an answer of a scheduler to the request with the given number.
+   *
+   * <p>An answer that can't be the answer to that request is not its answer. The request stays open
+   * until its own answer arrives or its deadline passes.
+   */
   void onSchedulerAnswer(long number, CallerAnswer answer) {
+    if (number <= numbersBegin) {
+      context
+          .log()
+          .write(
+              "answer to an earlier process dropped",
+              Map.of("number", number, "verdict", answer.verdict()));
+      return;
+    }
     openRequests.computeIfPresent(
         number,
         (key, openRequest) -> {
           if (!answer.verdict().answers(openRequest.request)) {
-            context
-                .log()
-                .write(
-                    "answer does not fit the request",
-                    openRequest.request.job().text(),
-                    Map.of(
-                        "number", number,
-                        "asked", openRequest.request.getClass().getSimpleName(),
-                        "verdict", answer.verdict()));
+            logUnfitAnswer(number, openRequest.request, answer);
+            return openRequest;
           }
           return openRequest.completeIfFinal(answer) ? null : openRequest;
         });
   }
 
+  private void logUnfitAnswer(long number, CallerRequest request, CallerAnswer answer) {
+    context
+        .log()
+        .write(
+            "answer does not fit the request",
+            request.job().text(),
+            Map.of(
+                "number",
+                number,
+                "asked",
+                request.getClass().getSimpleName(),
+                "verdict",
+                answer.verdict()));
+  }
+
   /** Sends the open requests to a new scheduler, since its predecessor may never answer them. */
   void resendOpenRequests() {
     for (Long number : openRequests.keySet()) {
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
@@ -32,6 +33,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Tests the answers to callers while the scheduler is unknown, slow or refuses a request.
@@ -40,10 +44,12 @@
  */
 class ForwardingRequestHandlerTests {
 
+  private static final JobId JOB = new JobId("0123456789abcdef");
+
   private static final CallerRequest SUBMIT =
       new CallerRequest.Submit(
           new JobDefinition(
-              new JobId("0123456789abcdef"),
+              JOB,
               new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
               "",
               List.of(),
@@ -52,6 +58,10 @@
               Duration.ZERO,
               Instant.EPOCH));
 
+  private static final CallerRequest SHOW = new CallerRequest.Show(JOB);
+
+  private static final CallerRequest CANCEL = new CallerRequest.Cancel(JOB);
+
   /** Longer than the handler waits for a scheduler that sends no heartbeats. */
   private static final long SLOW_ANSWER_MILLIS = 1000;
 
@@ -61,20 +71,23 @@
   private boolean storeAnswersLost;
   private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
   private HttpServer storeServer;
+  private MemberContext context;
   private ForwardingRequestHandler handler;
 
-  /** A client that answers with the values that the test sets, and counts the requests sent. */
+  /** A client that answers with the values that the test sets, and records the requests sent. */
   private static final class StubSchedulerClient
       implements ForwardingRequestHandler.SchedulerClient {
     private boolean schedulerKnown;
     private boolean storeAvailable = true;
     private boolean schedulerSeenRecently;
     private int requestsSent;
+    private volatile long sentNumber;
     private Runnable afterSend = () -> {};
 
     @Override
     public boolean trySend(long number, CallerRequest request) {
       requestsSent += schedulerKnown ? 1 : 0;
+      sentNumber = number;
       new Thread(afterSend).start();
       return schedulerKnown;
     }
@@ -132,7 +145,7 @@
             Duration.ofMinutes(2),
             Duration.ofSeconds(6));
     PrintStream out = new PrintStream(logOutput, true, StandardCharsets.UTF_8);
-    MemberContext context =
+    context =
         new MemberContext(
             settings,
             SchedulerSettings.of(
@@ -144,9 +157,13 @@
             new CellMetrics(),
             Threads.bounded("orders", 1, 1),
             Threads.immediate("looks", 1));
-    handler =
-        new ForwardingRequestHandler(
-            context, new ConfigurationFollower(context.store(), context.log()), scheduler);
+    handler = newHandler();
+  }
+
+  /** Returns a handler as a process that starts under the member's address makes it. */
+  private ForwardingRequestHandler newHandler() {
+    return new ForwardingRequestHandler(
+        context, new ConfigurationFollower(context.store(), context.log()), scheduler);
   }
 
   @AfterEach
@@ -155,7 +172,11 @@
   }
 
   private CallerAnswer submit() {
-    return handler.handle(SUBMIT, clock.instant().plusSeconds(1));
+    return handle(SUBMIT);
+  }
+
+  private CallerAnswer handle(CallerRequest request) {
+    return handler.handle(request, clock.instant().plusSeconds(1));
   }
 
   @Test
@@ -217,7 +238,7 @@
     scheduler.afterSend =
         () -> {
           Threads.pause(SLOW_ANSWER_MILLIS);
-          handler.onSchedulerAnswer(1, CallerAnswer.of(Verdict.ACCEPTED));
+          handler.onSchedulerAnswer(scheduler.sentNumber, CallerAnswer.of(Verdict.ACCEPTED));
         };
     CallerAnswer answer = handler.handle(SUBMIT, clock.instant().plusSeconds(3));
     assertEquals(Verdict.ACCEPTED, answer.verdict());
@@ -238,7 +259,7 @@
 
     @Test
     void areFinalWhenNobodyElseWasAsked() {
-      scheduler.afterSend = () -> handler.onSchedulerAnswer(1, refusal);
+      scheduler.afterSend = () -> handler.onSchedulerAnswer(scheduler.sentNumber, refusal);
       assertEquals(Verdict.UNAVAILABLE, submit().verdict());
     }
 
@@ -253,7 +274,7 @@
       scheduler.afterSend =
           () -> {
             refuseAsSecondScheduler();
-            handler.onSchedulerAnswer(1, refusal);
+            handler.onSchedulerAnswer(scheduler.sentNumber, refusal);
           };
       assertEquals(Verdict.UNAVAILABLE, submit().verdict());
     }
@@ -261,14 +282,101 @@
     @Test
     void areNotFinalAfterAnUnansweredAppendByTheMember() {
       storeAnswersLost = true;
-      beforeStoreAnswer = () -> handler.onSchedulerAnswer(1, refusal);
+      beforeStoreAnswer = () -> handler.onSchedulerAnswer(scheduler.sentNumber, refusal);
       assertEquals(Verdict.UNCERTAIN, submit().verdict());
     }
 
     private void refuseAsSecondScheduler() {
       scheduler.afterSend = () -> {};
       handler.resendOpenRequests();
-      handler.onSchedulerAnswer(1, refusal);
+      handler.onSchedulerAnswer(scheduler.sentNumber, refusal);
+    }
+  }
+
+  /** A scheduler answers the member's address, and may still owe answers to an earlier process. */
+  @Nested
+  class AnswersOwedToAnEarlierProcess {
+
+    // A member that restarted told a caller that a job was accepted which nobody had stored, since
+    // its requests had the numbers of its earlier process.
+    @ParameterizedTest
+    @MethodSource(
+        "org.hyssopport.launcher.cell.ForwardingRequestHandlerTests#answersOfTheRequestsKind")
+    void doNotCompleteRequestsOfTheProcessThatReplacedIt(
+        CallerRequest request, CallerAnswer owedAnswer, CallerAnswer ownAnswer) {
+      scheduler.schedulerKnown = true;
+      scheduler.schedulerSeenRecently = true;
+      assertEquals(Verdict.UNCERTAIN, handle(request).verdict());
+      long numberOfEarlierProcess = scheduler.sentNumber;
+      handler = newHandler();
+      scheduler.afterSend =
+          () -> {
+            handler.onSchedulerAnswer(numberOfEarlierProcess, owedAnswer);
+            handler.onSchedulerAnswer(scheduler.sentNumber, ownAnswer);
+          };
+      assertEquals(ownAnswer, handle(request));
+      assertFalse(loggedLines("answer to an earlier process dropped").isEmpty());
     }
   }
+
+  /** Each request with an answer of its kind that is not its own, and with its own. */
+  static List<Arguments> answersOfTheRequestsKind() {
+    return List.of(
+        Arguments.of(SUBMIT, CallerAnswer.of(Verdict.ACCEPTED), CallerAnswer.of(Verdict.REJECTED)),
+        Arguments.of(
+            SHOW, CallerAnswer.state(JobState.COMPLETE), CallerAnswer.state(JobState.QUEUED)),
+        Arguments.of(
+            CANCEL, CallerAnswer.of(Verdict.CANCELLED), CallerAnswer.of(Verdict.UNKNOWN_JOB)));
+  }
+
+  /** An answer that can't be the answer to the request is not passed on to the caller. */
+  @Nested
+  class AnswersOfAnotherKind {
+
+    @BeforeEach
+    void makeSchedulerKnown() {
+      scheduler.schedulerKnown = true;
+      scheduler.schedulerSeenRecently = true;
+    }
+
+    // A caller that asked for a job's state got status 200 without a state.
+    @ParameterizedTest
+    @MethodSource("org.hyssopport.launcher.cell.ForwardingRequestHandlerTests#answersOfAnotherKind")
+    void leaveRequestsOpenForTheirOwnAnswers(
+        CallerRequest request, CallerAnswer otherAnswer, CallerAnswer ownAnswer) {
+      scheduler.afterSend =
+          () -> {
+            handler.onSchedulerAnswer(scheduler.sentNumber, otherAnswer);
+            handler.onSchedulerAnswer(scheduler.sentNumber, ownAnswer);
+          };
+      assertEquals(ownAnswer, handle(request));
+    }
+
+    @ParameterizedTest
+    @MethodSource("org.hyssopport.launcher.cell.ForwardingRequestHandlerTests#answersOfAnotherKind")
+    void leaveRequestsUncertainAtTheirDeadline(CallerRequest request, CallerAnswer otherAnswer) {
+      scheduler.afterSend = () -> handler.onSchedulerAnswer(scheduler.sentNumber, otherAnswer);
+      assertEquals(Verdict.UNCERTAIN, handle(request).verdict());
+      assertFalse(loggedLines("answer does not fit the request").isEmpty());
+    }
+  }
+
+  /** Each request with an answer that can't be its own, and with its own. */
+  static List<Arguments> answersOfAnotherKind() {
+    CallerAnswer accepted = CallerAnswer.of(Verdict.ACCEPTED);
+    CallerAnswer rejected = CallerAnswer.of(Verdict.REJECTED);
+    CallerAnswer cancelled = CallerAnswer.of(Verdict.CANCELLED);
+    CallerAnswer unknownJob = CallerAnswer.of(Verdict.UNKNOWN_JOB);
+    CallerAnswer queued = CallerAnswer.state(JobState.QUEUED);
+    return List.of(
+        Arguments.of(SUBMIT, queued, accepted),
+        Arguments.of(SUBMIT, cancelled, accepted),
+        Arguments.of(SUBMIT, unknownJob, accepted),
+        Arguments.of(SHOW, accepted, queued),
+        Arguments.of(SHOW, rejected, queued),
+        Arguments.of(SHOW, cancelled, queued),
+        Arguments.of(CANCEL, accepted, cancelled),
+        Arguments.of(CANCEL, rejected, cancelled),
+        Arguments.of(CANCEL, queued, cancelled));
+  }
 }
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -65,7 +65,11 @@
   /**
    * Forwards a caller's request to the scheduler.
    *
-   * @param number the number that the forwarding member gave the request
+   * <p>The answer may arrive after the forwarding member was started again under its address, so a
+   * member must not number its requests as its earlier processes did.
+   *
+   * @param number the number that the forwarding member gave the request; no other process under
+   *     the member's address uses it
    * @param request the request of the caller
    */
   record ForwardedRequest(long number, CallerRequest request) implements MemberMessage {}
@@ -73,7 +77,8 @@
   /**
    * Returns the answer to a forwarded request.
    *
-   * @param number the number that the forwarding member gave the request
+   * @param number the number of the request that is answered, which may be a request of an earlier
+   *     process under the receiver's address
    * @param answer the answer for the caller
    */
   record ForwardedAnswer(long number, CallerAnswer answer) implements MemberMessage {}
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/StoreStandIn.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/StoreStandIn.java
@@ -10,9 +10,12 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.hyssopport.testkit.platform.PlatformHttpServer.Call;
 import org.hyssopport.testkit.platform.PlatformHttpServer.Reply;
@@ -37,6 +40,9 @@
   private boolean down;
   private int answersToLose;
   private int appendCount;
+  private Optional<String> heldTopic = Optional.empty();
+  private final Set<String> heldAppends = new HashSet<>();
+  private int appendsToRelease;
 
   /**
    * The records of a topic, the offset of the newest record of each key, and the epochs and
@@ -94,6 +100,31 @@
     answersToLose = count;
   }
 
+  /**
+   * Holds the appends of a topic from now on: until they are released, they have no effect and get
+   * no answer. Other topics, reads and joins are served.
+   */
+  public synchronized void holdAppends(String topic) {
+    heldTopic = Optional.of(topic);
+  }
+
+  /** Returns the number of different appends that have been held, without their repetitions. */
+  public synchronized int heldAppendCount() {
+    return heldAppends.size();
+  }
+
+  /** Releases one held append, which then takes effect, and its repetitions are answered. */
+  public synchronized void releaseOneAppend() {
+    appendsToRelease++;
+    notifyAll();
+  }
+
+  /** Releases all held appends and ends the holding. */
+  public synchronized void releaseAppends() {
+    heldTopic = Optional.empty();
+    notifyAll();
+  }
+
   /** Makes all present offsets of a topic unreadable; the newest record of each key remains. */
   public synchronized void compact(String topic) {
     Topic compacted = topic(topic);
@@ -133,8 +164,9 @@
     }
   }
 
-  private synchronized Reply append(Call call) {
+  private synchronized Reply append(Call call) throws InterruptedException {
     appendCount++;
+    waitWhileHeld(call);
     if (down) {
       return Reply.empty(503);
     }
@@ -172,6 +204,30 @@
     return appendReply(topic, offset);
   }
 
+  private void waitWhileHeld(Call call) throws InterruptedException {
+    String topicName = call.query().get("topic");
+    boolean holding = heldTopic.filter(topicName::equals).isPresent();
+    while (holding && !isRepetition(call)) {
+      heldAppends.add(call.exchange().getRequestURI().getRawQuery());
+      if (appendsToRelease > 0) {
+        appendsToRelease--;
+        notifyAll();
+        return;
+      }
+      wait();
+      holding = heldTopic.filter(topicName::equals).isPresent();
+    }
+  }
+
+  /** Returns whether an append with the same producer, epoch and sequence number took effect. */
+  private boolean isRepetition(Call call) {
+    Topic topic = topic(call.query().get("topic"));
+    String producer = call.query().get("producer");
+    return producer != null
+        && call.longParameter("epoch") == topic.producerEpochs.getOrDefault(producer, -1L)
+        && topic.offsetsBySequence.get(producer).containsKey(call.longParameter("seq"));
+  }
+
   private static Reply refusalReply(String reason) {
     return Reply.json(409, PlatformHttpServer.MAPPER.createObjectNode().put("reason", reason));
   }
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
@@ -1,6 +1,7 @@
 package org.hyssopport.testkit.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -15,6 +16,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.policy.Resources;
@@ -99,18 +104,42 @@
 
   private HttpResponse<String> post(MemberProcess member, String path, String body)
       throws Exception {
-    return send(
-        HttpRequest.newBuilder(URI.create("http://" + member.callerAddress() + path))
-            .POST(HttpRequest.BodyPublishers.ofString(body)));
+    return send(requestTo(member, path).POST(HttpRequest.BodyPublishers.ofString(body)));
+  }
+
+  private static HttpRequest.Builder requestTo(MemberProcess member, String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + member.callerAddress() + path));
+  }
+
+  /** Sends a request whose caller waits as long as the test, without waiting for the answer. */
+  private CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest.Builder request) {
+    return client.sendAsync(
+        request
+            .timeout(AWAIT_TIMEOUT)
+            .header("Hyssopport-Deadline-Ms", String.valueOf(AWAIT_TIMEOUT.toMillis()))
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
   }
 
   /** Submits a job of one step until it is accepted; only the first member's host has a route. */
   private JobId submit(MemberProcess member, int tasks, int millis) throws Exception {
-    lastJobNumber++;
-    JobId id = new JobId(String.format("%016x", lastJobNumber));
+    JobId id = recordJob(tasks, millis);
+    String body = jobBody(tasks, millis);
+    await(() -> post(member, "/plans/" + id, body).statusCode() == 200);
+    return id;
+  }
+
+  private static String jobBody(int tasks, int millis) {
     ObjectNode body = PlatformHttpServer.MAPPER.createObjectNode().put("spec", "text");
     ObjectNode step = body.putArray("steps").addObject();
     step.put("count", tasks).put("cpu", 1000).put("memMb", 100).put("estMs", millis);
+    return body.toString();
+  }
+
+  /** Tells the checker of runs that a job of one step is about to be submitted. */
+  private JobId recordJob(int tasks, int millis) {
+    lastJobNumber++;
+    JobId id = new JobId(String.format("%016x", lastJobNumber));
     StepDefinition definition =
         new StepDefinition(
             tasks,
@@ -126,7 +155,6 @@
             false,
             false);
     workers.runChecker().recordSubmission(id, List.of(definition));
-    await(() -> post(member, "/plans/" + id, body.toString()).statusCode() == 200);
     return id;
   }
 
@@ -134,6 +162,26 @@
     await(() -> get(member.callerAddress(), "/plans/" + id).body().contains(state));
   }
 
+  /** Kills the first member and starts it again under its address, below another scheduler. */
+  private void restartFirstMember() throws Exception {
+    members.get(0).kill();
+    await(() -> logOfOtherMembers().contains("term begun"));
+    MemberProcess restarted = MemberProcess.start(directory, 1, store.address(), workers.address());
+    members.set(0, restarted);
+    await(() -> restarted.log().contains("scheduler of a newer term found"));
+    await(() -> get(restarted.readinessAddress(), "/api/ready").statusCode() == 200);
+  }
+
+  private String logOfOtherMembers() throws IOException {
+    return members.get(1).log() + members.get(2).log();
+  }
+
+  private boolean otherMembersLogged(String event, JobId id) throws IOException {
+    return logOfOtherMembers()
+        .lines()
+        .anyMatch(line -> line.contains("\"" + event + "\"") && line.contains(id.text()));
+  }
+
   @Test
   void jobsAreServedFromEndToEnd() throws Exception {
     MemberProcess firstMember = members.get(0);
@@ -200,4 +248,36 @@
     JobId job = submit(members.get(0), 2, 200);
     awaitState(members.get(0), job, "complete");
   }
+
+  // A member that restarted answered a request with the answer that the scheduler owed to the
+  // process before it, whose request had the same number.
+  @Test
+  void answersOwedToKilledMembersDoNotCompleteRequestsOfTheirSuccessors() throws Exception {
+    restartFirstMember();
+    JobId running = submit(members.get(0), 1, 60_000);
+    awaitState(members.get(0), running, "running");
+    restartFirstMember();
+    store.holdAppends("keyed.jobs");
+    JobId accepted = recordJob(2, 200);
+    HttpRequest.BodyPublisher body = HttpRequest.BodyPublishers.ofString(jobBody(2, 200));
+    CompletableFuture<HttpResponse<String>> submission =
+        sendAsync(requestTo(members.get(0), "/plans/" + accepted).POST(body));
+    await(() -> otherMembersLogged("accepted", accepted) && store.heldAppendCount() == 1);
+    restartFirstMember();
+    assertThrows(ExecutionException.class, submission::get);
+    CompletableFuture<HttpResponse<String>> cancellation =
+        sendAsync(requestTo(members.get(0), "/plans/" + running).DELETE());
+    await(() -> otherMembersLogged("cancelled", running));
+    store.releaseOneAppend();
+    // The scheduler answers the submission before it stores the cancellation.
+    await(() -> store.heldAppendCount() == 2);
+    assertThrows(
+        TimeoutException.class, () -> cancellation.get(500, TimeUnit.MILLISECONDS).statusCode());
+    await(() -> members.get(0).log().contains("answer to an earlier process dropped"));
+    store.releaseAppends();
+    assertEquals(200, cancellation.get().statusCode());
+    awaitState(members.get(0), running, "cancelled");
+    awaitState(members.get(0), accepted, "complete");
+    assertEquals(List.of(), workers.runChecker().findings());
+  }
 }
