Take only advice that answers a call of the same term

What callers saw: a step's start carried the ticket of another step, so the worker refused it and the step waited for advice again.

Cause: every term numbers its calls for advice from 1, and an AdviceAnswer carried only that number. A member that led two terms took the answer that another member (or its own advice thread) still owed to the earlier term as the answer to the call with that number in the later one, and recorded its tickets for the later call's step.

Evidence: PlatformEndToEndTests.adviceOwedToEarlierTermsIsNotUsedForOtherSteps, three member processes, one leads two terms, the advice of the first is answered in the second.

Fix: AdviceRequest and AdviceAnswer carry the term, which the store makes unique, and a term takes only answers to its own calls; others are logged as "advice for another term dropped".

Tests: the workers' stand-in gives each step tickets of its own and refuses starts with others, in all end-to-end tests, and can hold calls for advice; the store stand-in can fence the next append, which ends a term.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -225,7 +225,9 @@
               return ticketTexts;
             });
     long validMillis = answer.map(AdviceGateway.Advice::validMillis).orElse(0L);
-    send(sender, new MemberMessage.AdviceAnswer(request.call(), tickets, validMillis));
+    send(
+        sender,
+        new MemberMessage.AdviceAnswer(request.term(), request.call(), tickets, validMillis));
   }
 
   /**
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -230,8 +230,16 @@
     }
   }
 
-  /** Queues the answer to a call for advice. */
+  /** Queues the answer to a call for advice; drops it if another term made the call. */
   void onAdvice(MemberMessage.AdviceAnswer advice) {
+    if (advice.term() != term) {
+      context
+          .log()
+          .write(
+              "advice for another term dropped",
+              Map.of("term", term, "answered", advice.term(), "call", advice.call()));
+      return;
+    }
     Instant expiresAt =
         context.clock().instant().plusMillis(advice.validMillis()).minus(TICKET_TRANSIT);
     enqueue(
@@ -338,6 +346,7 @@
       transport.send(
           advise.member(),
           new MemberMessage.AdviceRequest(
+              term,
               advise.call().number(),
               advise.call().step(),
               advise.call().workers(),
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -86,23 +86,30 @@
   /**
    * Asks for advice on which workers may run the tasks of a step.
    *
-   * @param call the number of the advice call, which the answer repeats
+   * <p>Every term numbers its calls from 1, so a call is identified by its term and its number.
+   *
+   * @param term the sender's term as scheduler, which the answer repeats
+   * @param call the number of the advice call in this term, which the answer repeats
    * @param step the step whose tasks are to be placed
    * @param workers the workers that the advice is about
    * @param withinMillis the time limit for the answer, in milliseconds
    */
-  record AdviceRequest(long call, StepId step, List<WorkerId> workers, long withinMillis)
+  record AdviceRequest(long term, long call, StepId step, List<WorkerId> workers, long withinMillis)
       implements MemberMessage {}
 
   /**
    * Answers a request for advice.
    *
+   * <p>It may arrive in a later term of the receiver, which must not take it for the answer to its
+   * own call with this number.
+   *
+   * @param term the term in which the advice call was sent
    * @param call the number of the advice call that is answered
    * @param tickets the tickets of the workers that may run the tasks, by the worker's name; empty
    *     if no advice was given
    * @param validMillis how long the tickets are accepted, in milliseconds
    */
-  record AdviceAnswer(long call, Optional<Map<String, String>> tickets, long validMillis)
+  record AdviceAnswer(long term, long call, Optional<Map<String, String>> tickets, long validMillis)
       implements MemberMessage {}
 
   /**
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/StoreStandIn.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/StoreStandIn.java
@@ -43,6 +43,7 @@
   private Optional<String> heldTopic = Optional.empty();
   private final Set<String> heldAppends = new HashSet<>();
   private int appendsToRelease;
+  private Optional<String> topicToFence = Optional.empty();
 
   /**
    * The records of a topic, the offset of the newest record of each key, and the epochs and
@@ -125,6 +126,11 @@
     notifyAll();
   }
 
+  /** Rejects the next append of a producer to a topic, as if a newer epoch existed. */
+  public synchronized void fenceNextAppend(String topic) {
+    topicToFence = Optional.of(topic);
+  }
+
   /** Makes all present offsets of a topic unreadable; the newest record of each key remains. */
   public synchronized void compact(String topic) {
     Topic compacted = topic(topic);
@@ -172,6 +178,10 @@
     }
     Topic topic = topic(call.query().get("topic"));
     String producer = call.query().get("producer");
+    if (producer != null && topicToFence.filter(call.query().get("topic")::equals).isPresent()) {
+      topicToFence = Optional.empty();
+      return refusalReply("fenced");
+    }
     if (producer != null) {
       long epoch = call.longParameter("epoch");
       long sequence = call.longParameter("seq");
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/WorkersStandIn.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/WorkersStandIn.java
@@ -5,8 +5,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +50,10 @@
   private final PlatformHttpServer server;
   private final StoreStandIn store;
   private final Thread clockThread = new Thread(this::runClock, "workers-clock");
+  private final Set<JobId> jobsWithHeldAdvice = new HashSet<>();
+  private final Set<JobId> jobsWithReleasedAdvice = new HashSet<>();
+  private final List<String> refusedTickets = new ArrayList<>();
+  private boolean holdingAdvice;
   private volatile boolean closed;
 
   private WorkersStandIn(
@@ -87,6 +95,27 @@
     return workers.runChecker();
   }
 
+  /** Holds all calls for advice from now on until the advice on their job is released. */
+  public synchronized void holdAdvice() {
+    holdingAdvice = true;
+  }
+
+  /** Returns whether a call for advice on a step of the job is or was held. */
+  public synchronized boolean hasHeldAdvice(JobId job) {
+    return jobsWithHeldAdvice.contains(job);
+  }
+
+  /** Answers the calls for advice on the steps of a job, held ones and later ones. */
+  public synchronized void releaseAdvice(JobId job) {
+    jobsWithReleasedAdvice.add(job);
+    notifyAll();
+  }
+
+  /** Returns a line for each start that was refused since its ticket is not one of its step. */
+  public synchronized List<String> refusedTickets() {
+    return List.copyOf(refusedTickets);
+  }
+
   private void runClock() {
     long startNanos = System.nanoTime();
     long advancedMillis = 0;
@@ -134,16 +163,25 @@
   }
 
   private static TaskId parseTaskId(String name) {
+    int lastDot = name.lastIndexOf('.');
+    return new TaskId(
+        parseStepId(name.substring(0, lastDot)), Integer.parseInt(name.substring(lastDot + 1)));
+  }
+
+  private static StepId parseStepId(String name) {
     String[] parts = name.split("\\.", -1);
-    StepId step =
-        new StepId(new JobId(parts[0]), Integer.parseInt(parts[1]), Integer.parseInt(parts[2]));
-    return new TaskId(step, Integer.parseInt(parts[3]));
+    return new StepId(new JobId(parts[0]), Integer.parseInt(parts[1]), Integer.parseInt(parts[2]));
   }
 
   private synchronized Reply start(Call call) throws IOException {
     JsonNode body = call.json();
     RunId runId = parseRunId(body);
     SimulatedWorker worker = addressedWorker(call);
+    String ticket = body.path("ticket").asText();
+    if (!ticket.equals(ticketFor(runId.task().step()))) {
+      refusedTickets.add(runId + " with " + ticket);
+      return orderReply(worker, OrderResult.NO_TICKET);
+    }
     OrderResult result =
         worker.start(
             runId,
@@ -166,6 +204,7 @@
       case DONE -> Reply.json(200, node);
       case FENCED -> Reply.json(409, node.put("reason", "fence"));
       case OLD_RUN -> Reply.json(409, node.put("reason", "old"));
+      case NO_TICKET -> Reply.json(409, node.put("reason", "ticket"));
       default -> Reply.json(409, node.put("reason", "late"));
     };
   }
@@ -219,15 +258,27 @@
     return node;
   }
 
-  private Reply advise(Call call) throws IOException {
+  private Reply advise(Call call) throws IOException, InterruptedException {
+    JsonNode body = call.json();
+    StepId step = parseStepId(body.path("step").asText());
+    synchronized (this) {
+      while (holdingAdvice && !jobsWithReleasedAdvice.contains(step.job())) {
+        jobsWithHeldAdvice.add(step.job());
+        wait();
+      }
+    }
     ObjectNode node = PlatformHttpServer.MAPPER.createObjectNode();
     ArrayNode goodWorkers = node.putArray("good");
-    for (JsonNode worker : call.json().path("workers")) {
-      goodWorkers.addArray().add(worker.asText()).add("ticket");
+    for (JsonNode worker : body.path("workers")) {
+      goodWorkers.addArray().add(worker.asText()).add(ticketFor(step));
     }
     return Reply.json(200, node.put("validMs", 1500));
   }
 
+  private static String ticketFor(StepId step) {
+    return "ticket of " + step;
+  }
+
   @Override
   public void close() {
     closed = true;
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
@@ -68,12 +68,16 @@
   }
 
   private static String configuration(int version) {
+    return configuration(version, 5);
+  }
+
+  private static String configuration(int version, int adviceMillis) {
     ObjectNode node = PlatformHttpServer.MAPPER.createObjectNode().put("version", version);
     ObjectNode route = node.putArray("routes").addObject();
     route.put("name", "plans").put("host", "127.0.31.1").put("prefix", "/plans/");
     route.put("service", SimulatedWorkers.SERVICE).put("attempts", 2).put("stretch", 2.0);
     route.put("sloMs", 1000);
-    route.putObject("advice").put("decideMs", 5).put("eachMs", 0.1).put("validMs", 1500);
+    route.putObject("advice").put("decideMs", adviceMillis).put("eachMs", 0.1).put("validMs", 1500);
     return node.toString();
   }
 
@@ -280,4 +284,42 @@
     awaitState(members.get(0), accepted, "complete");
     assertEquals(List.of(), workers.runChecker().findings());
   }
+
+  // A start carried the ticket of another step, since the call for that step's advice, in an
+  // earlier term of the same member, had the same number.
+  @Test
+  void adviceOwedToEarlierTermsIsNotUsedForOtherSteps() throws Exception {
+    MemberProcess firstMember = members.get(0);
+    store.put("keyed.op", "config", configuration(4, 20_000));
+    await(() -> firstMember.log().contains("\"version\":4"));
+    workers.holdAdvice();
+    JobId cancelledJob = submit(firstMember, 1, 200);
+    await(() -> workers.hasHeldAdvice(cancelledJob));
+    String path = "/plans/" + cancelledJob;
+    await(() -> send(requestTo(firstMember, path).DELETE()).statusCode() == 200);
+    store.fenceNextAppend("keyed.jobs");
+    JobId job = submit(firstMember, 1, 200);
+    await(() -> workers.hasHeldAdvice(job));
+    assertTrue(anyMemberLogged("\"term begun\"", 2), "the same member did not lead both terms");
+    workers.releaseAdvice(cancelledJob);
+    await(
+        () ->
+            anyMemberLogged("\"advice for another term dropped\"", 1)
+                || !workers.refusedTickets().isEmpty());
+    assertEquals(List.of(), workers.refusedTickets());
+    workers.releaseAdvice(job);
+    awaitState(firstMember, job, "complete");
+    assertEquals(List.of(), workers.refusedTickets());
+    assertEquals(List.of(), workers.runChecker().findings());
+  }
+
+  /** Returns whether the log of one member contains a text at least the given number of times. */
+  private boolean anyMemberLogged(String text, int times) throws IOException {
+    for (MemberProcess member : members) {
+      if (member.log().lines().filter(line -> line.contains(text)).count() >= times) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
