--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -46,6 +46,12 @@
    */
   private static final int MAXIMUM_CANCELLED_UNKNOWN_JOBS = 10_000;
 
+  /**
+   * How long after a read of the journal an unknown job is taken for one that does not exist: half
+   * of the time after which an accepted job must be known, since the answer also takes time.
+   */
+  private static final Duration MAXIMUM_JOURNAL_AGE = Duration.ofMillis(1500);
+
   private final SchedulerContext context;
   private final JobRegistry jobs = new JobRegistry();
   private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry();
@@ -70,6 +76,7 @@
   private boolean recovered;
   private boolean storeAvailable = true;
   private Instant lastStoreAnswerAt = Instant.MIN;
+  private Instant journalCurrentUntil = Instant.MIN;
 
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
@@ -157,6 +164,8 @@
       lastStoreAnswerAt = context.now();
     } else if (event instanceof SchedulerEvent.OtherMemberEntriesRead entriesRead) {
       entriesRead.entries().forEach(this::applyEntryFromOtherMember);
+    } else if (event instanceof SchedulerEvent.JournalRead read) {
+      onJournalRead(read.sentAt());
     } else if (event instanceof SchedulerEvent.LiveListReceived liveList) {
       updateWorkers(liveList.workers());
     } else if (event instanceof SchedulerEvent.WorkerPolled polled) {
@@ -426,11 +435,23 @@
   }
 
   private void show(CallerRequestId caller, JobId id) {
-    CallerAnswer answer =
-        jobs.find(id)
-            .map(job -> CallerAnswer.state(job.storedState()))
-            .orElseGet(() -> CallerAnswer.of(Verdict.UNKNOWN_JOB));
-    reply(caller, answer);
+    Optional<Job> found = jobs.find(id);
+    if (found.isPresent()) {
+      reply(caller, CallerAnswer.state(found.get().storedState()));
+    } else if (context.now().isBefore(journalCurrentUntil)) {
+      reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
+    } else {
+      // Another member may have stored the job since the journal was last read.
+      context.logDecision("job not known yet", id, Map.of("reason", "journal not read recently"));
+      reply(caller, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+    }
+  }
+
+  private void onJournalRead(Instant sentAt) {
+    Instant currentUntil = sentAt.plus(MAXIMUM_JOURNAL_AGE);
+    if (currentUntil.isAfter(journalCurrentUntil)) {
+      journalCurrentUntil = currentUntil;
+    }
   }
 
   private void applyEntryFromOtherMember(JournalEntry entry) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
@@ -65,6 +65,14 @@
    */
   record OtherMemberEntriesRead(List<JournalEntry> entries) implements SchedulerEvent {}
 
+  /**
+   * The journal was read to its end. Earlier events contain every entry that other members had
+   * stored when the read was sent.
+   *
+   * @param sentAt when the read was sent, by the local monotonic clock
+   */
+  record JournalRead(Instant sentAt) implements SchedulerEvent {}
+
   /**
    * The current live list was received.
    *
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -146,6 +146,7 @@
     if (!journalWriter.fenceOlderTerms()) {
       return false;
     }
+    Instant sentAt = context.clock().instant();
     Either<StoreFailure, StorePage> entries = context.store().readNewest(JournalCodec.TOPIC);
     if (entries.isLeft() || !liveWorkers.refresh()) {
       context.log().write("term not begun: journal or live list not read", Map.of("term", term));
@@ -156,6 +157,7 @@
     eventQueue.put(
         new SchedulerEvent.Recovered(
             JournalCodec.decodeAll(entries.get().records(), context.log()), liveWorkers.workers()));
+    eventQueue.put(new SchedulerEvent.JournalRead(sentAt));
     startThread("scheduler", this::runScheduler);
     startThread("journal-writer", journalWriter::run);
     startThread("journal-follower", this::followJournal);
@@ -428,32 +430,47 @@
   }
 
   private void followJournal() {
+    boolean readable = true;
     while (!ended && Threads.pause(JOURNAL_READ_INTERVAL_MILLIS)) {
-      long from = nextUnreadOffset.get();
-      Either<StoreFailure, StorePage> page =
-          context.store().read(JournalCodec.TOPIC, from, Duration.ZERO);
-      if (page.isRight()) {
-        onStoreAnswer();
-        if (!page.get().records().isEmpty()) {
-          enqueue(
-              new SchedulerEvent.OtherMemberEntriesRead(
-                  JournalCodec.decodeAll(page.get().records(), context.log())));
-        }
-        nextUnreadOffset.accumulateAndGet(page.get().nextOffset(), Math::max);
-      } else if (page.getLeft().kind() == StoreFailure.Kind.DROPPED) {
-        rereadJournal();
+      Instant sentAt = context.clock().instant();
+      Either<StoreFailure, StorePage> page = readJournal();
+      page.forEach(entries -> deliverJournalPage(entries, sentAt));
+      if (page.isRight() != readable) {
+        readable = page.isRight();
+        context
+            .log()
+            .write(
+                readable ? "dependency regained" : "dependency lost",
+                Map.of(
+                    "dependency",
+                    "store, for the entries of other members",
+                    "detail",
+                    page.fold(StoreFailure::detail, entries -> "")));
       }
     }
   }
 
-  /** Reads the newest record of each key, after the store has dropped unread records. */
-  private void rereadJournal() {
-    Either<StoreFailure, StorePage> newest = context.store().readNewest(JournalCodec.TOPIC);
-    if (newest.isRight()) {
+  /**
+   * Reads the unread records of the journal, or the newest record of each key if the store has
+   * dropped unread ones.
+   */
+  private Either<StoreFailure, StorePage> readJournal() {
+    Either<StoreFailure, StorePage> page =
+        context.store().read(JournalCodec.TOPIC, nextUnreadOffset.get(), Duration.ZERO);
+    boolean dropped = page.isLeft() && page.getLeft().kind() == StoreFailure.Kind.DROPPED;
+    return dropped ? context.store().readNewest(JournalCodec.TOPIC) : page;
+  }
+
+  private void deliverJournalPage(StorePage page, Instant sentAt) {
+    onStoreAnswer();
+    if (!page.records().isEmpty()) {
       enqueue(
           new SchedulerEvent.OtherMemberEntriesRead(
-              JournalCodec.decodeAll(newest.get().records(), context.log())));
-      nextUnreadOffset.accumulateAndGet(newest.get().nextOffset(), Math::max);
+              JournalCodec.decodeAll(page.records(), context.log())));
+    }
+    nextUnreadOffset.accumulateAndGet(page.nextOffset(), Math::max);
+    if (page.nextOffset() >= page.endOffset()) {
+      enqueue(new SchedulerEvent.JournalRead(sentAt));
     }
   }
 
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -38,6 +38,7 @@
   private static final long STORE_RETRY_DELAY_MILLIS = 40;
   private static final long NETWORK_DELAY_MILLIS = 1;
   private static final long LIST_INTERVAL_MILLIS = 500;
+  private static final long JOURNAL_READ_INTERVAL_MILLIS = 250;
   private static final long ANSWER_TIMEOUT_MILLIS = 700;
 
   private final VirtualTime time;
@@ -52,6 +53,7 @@
   private final CellScheduler scheduler;
   private final List<String> decisions;
   private final Map<String, Instant> memberFreeAt = new HashMap<>();
+  private int memberEntriesRead;
   private boolean decisionScheduled;
   private boolean storeAvailable = true;
   private boolean ended;
@@ -78,7 +80,9 @@
 
   void begin() {
     journal.fence(term);
+    memberEntriesRead = journal.memberEntries().size();
     handle(new SchedulerEvent.Recovered(journal.entries(), workers.describeLiveWorkers()));
+    handle(new SchedulerEvent.JournalRead(time.now()));
     Set<String> names = new HashSet<>();
     for (int number = 0; number < memberCount; number++) {
       names.add("member-" + number);
@@ -86,6 +90,7 @@
     handle(new SchedulerEvent.MembersChanged(names));
     time.afterMillis(TICK_INTERVAL_MILLIS, this::tick);
     time.afterMillis(LIST_INTERVAL_MILLIS, this::listWorkers);
+    time.afterMillis(JOURNAL_READ_INTERVAL_MILLIS, this::readJournal);
   }
 
   void end() {
@@ -117,6 +122,27 @@
     }
   }
 
+  private void readJournal() {
+    if (!ended) {
+      Instant sentAt = time.now();
+      time.afterMillis(STORE_DELAY_MILLIS, () -> deliverMemberEntries(sentAt));
+      time.afterMillis(JOURNAL_READ_INTERVAL_MILLIS, this::readJournal);
+    }
+  }
+
+  private void deliverMemberEntries(Instant sentAt) {
+    if (!journal.isReadable()) {
+      return;
+    }
+    List<JournalEntry> entries = journal.memberEntries();
+    List<JournalEntry> unread = entries.subList(memberEntriesRead, entries.size());
+    memberEntriesRead = entries.size();
+    if (!unread.isEmpty()) {
+      handle(new SchedulerEvent.OtherMemberEntriesRead(unread));
+    }
+    handle(new SchedulerEvent.JournalRead(sentAt));
+  }
+
   void handle(SchedulerEvent event) {
     if (ended) {
       return;
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
@@ -16,7 +16,9 @@
 
   private final Map<String, JournalEntry> newestEntries = new LinkedHashMap<>();
   private long newestTerm;
+  private final List<JournalEntry> memberEntries = new ArrayList<>();
   private boolean down;
+  private boolean failingReads;
   private double lostAnswerShare;
 
   /** Makes the store unavailable, or available again. */
@@ -29,10 +31,20 @@
     lostAnswerShare = share;
   }
 
+  /** Makes reads fail, or succeed again; appends are not affected. */
+  public void setFailingReads(boolean nowFailing) {
+    failingReads = nowFailing;
+  }
+
   boolean isDown() {
     return down;
   }
 
+  /** Returns whether the journal can be read. */
+  boolean isReadable() {
+    return !down && !failingReads;
+  }
+
   double lostAnswerShare() {
     return lostAnswerShare;
   }
@@ -64,6 +76,17 @@
     return true;
   }
 
+  /** Appends an entry of a member that does not lead, which no term fences. */
+  void appendWithoutTerm(JournalEntry entry) {
+    newestEntries.put(entry.getClass().getSimpleName() + entry.job().text(), entry);
+    memberEntries.add(entry);
+  }
+
+  /** Returns the entries that members appended without a term, in order. */
+  List<JournalEntry> memberEntries() {
+    return new ArrayList<>(memberEntries);
+  }
+
   List<JournalEntry> entries() {
     return new ArrayList<>(newestEntries.values());
   }
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
@@ -11,6 +11,7 @@
 import java.util.stream.LongStream;
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.policy.Resources;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -95,6 +96,25 @@
     }
   }
 
+  /** Guards against answers that rest on a journal which has not been read for some time. */
+  @Nested
+  class WhenTheJournalCannotBeRead {
+
+    private final List<StepDefinition> steps = List.of(Steps.plain(1, 1000, 1000));
+
+    // The scheduler answered that there is no such job, 4 s after another member accepted it.
+    @Test
+    void jobsOfOtherMembersAreNotShownAsUnknown() {
+      simulation.advance(Duration.ofSeconds(1));
+      simulation.journal().setFailingReads(true);
+      JobId job = simulation.submitWithoutScheduler(Steps.queue(0, 2), steps);
+      advanceAndCheck(Duration.ofSeconds(4));
+      simulation.journal().setFailingReads(false);
+      advanceAndCheck(Duration.ofSeconds(5));
+      assertEquals(Optional.of(JobState.COMPLETE), simulation.state(job));
+    }
+  }
+
   @Nested
   class WhenWorkersFail {
 
