Report incomplete answers of the store as failures

An answer of the store without `offset`, `end` or `generation` counted as one with zeros: an append without an offset began term 1, a list without its end was read again from offset 0, an assignment row without a partition made the member the owner of partition 0, which leads. A list that announced more records but had none passed for the whole list.

Cause: PlatformJson.longOrZero and JsonNode.asInt stand for "missing" and for zero alike, and an empty body counted as an empty object.

Why it works: such answers are failures of the kind UNCERTAIN with a reason, which the callers log and retry as before. The protocol says for some fields that zeros are omitted and does not say it of the store, so a missing field is still taken for zero where the rest of the answer allows nothing else: the offset of an append whose records are the only ones, the end of a list without records, and the offset of one record of a list. Fencing is a method of its own, which needs no field of the answer; leaving a group needs none either.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalWriter.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalWriter.java
@@ -67,16 +67,15 @@
    * @return whether the store confirmed it
    */
   boolean fenceOlderTerms() {
-    Either<StoreFailure, Long> result =
-        context.store().append(JournalCodec.TOPIC, List.of(), Optional.of(stamp()));
-    if (result.isLeft()) {
-      context
-          .log()
-          .write(
-              "term not begun: journal not fenced against older terms",
-              Map.of("detail", result.getLeft().detail()));
-    }
-    return result.isRight();
+    Optional<StoreFailure> failure = context.store().fence(JournalCodec.TOPIC, stamp());
+    failure.ifPresent(
+        reason ->
+            context
+                .log()
+                .write(
+                    "term not begun: journal not fenced against older terms",
+                    Map.of("detail", reason.detail())));
+    return failure.isEmpty();
   }
 
   private WriterStamp stamp() {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -269,14 +269,16 @@
   }
 
   private void leaveGroup() {
-    Either<StoreFailure, ?> result = context.store().leave(GROUP, selfAddress);
-    if (result.isLeft()) {
-      context
-          .log()
-          .write(
-              "scheduler group not left; the membership ends when it expires",
-              Map.of("detail", result.getLeft().detail()));
-    }
+    context
+        .store()
+        .leave(GROUP, selfAddress)
+        .ifPresent(
+            failure ->
+                context
+                    .log()
+                    .write(
+                        "scheduler group not left; the membership ends when it expires",
+                        Map.of("detail", failure.detail())));
     joined = false;
     generation = 0;
   }
