--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -78,7 +78,11 @@
   /**
    * Forwards a caller's request to the scheduler.
    *
-   * @param number the number that the forwarding member gave the request
+   * <p>The answer may arrive after the forwarding member was started again under its address, so a
+   * member must not number its requests as its earlier processes did.
+   *
+   * @param number the number that the forwarding member gave the request; no other process under
+   *     the member's address uses it
    * @param request the request of the caller
    */
   record ForwardedRequest(long number, CallerRequest request) implements MemberMessage {}
@@ -86,7 +90,8 @@
   /**
    * Returns the answer to a forwarded request.
    *
-   * @param number the number that the forwarding member gave the request
+   * @param number the number of the request that is answered, which may be a request of an earlier
+   *     process under the receiver's address
    * @param answer the answer for the caller
    */
   record ForwardedAnswer(long number, CallerAnswer answer) implements MemberMessage {}
@@ -94,23 +99,30 @@
   /**
    * Asks for advice on which workers may run the tasks of a step.
    *
-   * @param call the number of the advice call, which the answer repeats
+   * <p>Every term numbers its calls from 1, so a call is identified by its term and its number.
+   *
+   * @param term the sender's term as scheduler, which the answer repeats
+   * @param call the number of the advice call in this term, which the answer repeats
    * @param step the step whose tasks are to be placed
    * @param workers the workers that the advice is about
    * @param withinMillis the time limit for the answer, in milliseconds
    */
-  record AdviceRequest(long call, StepId step, List<WorkerId> workers, long withinMillis)
+  record AdviceRequest(long term, long call, StepId step, List<WorkerId> workers, long withinMillis)
       implements MemberMessage {}
 
   /**
    * Answers a request for advice.
    *
+   * <p>It may arrive in a later term of the receiver, which must not take it for the answer to its
+   * own call with this number.
+   *
+   * @param term the term in which the advice call was sent
    * @param call the number of the advice call that is answered
    * @param tickets the tickets of the workers that may run the tasks, by the worker's name; empty
    *     if no advice was given
    * @param validMillis how long the tickets are accepted, in milliseconds
    */
-  record AdviceAnswer(long call, Optional<Map<String, String>> tickets, long validMillis)
+  record AdviceAnswer(long term, long call, Optional<Map<String, String>> tickets, long validMillis)
       implements MemberMessage {}
 
   /**
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
@@ -1,6 +1,7 @@
 package org.hyssopport.testkit.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -15,6 +16,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.policy.Resources;
@@ -63,12 +68,16 @@
   }
 
   private static String configuration(int version) {
+    return configuration(version, 5);
+  }
+
+  private static String configuration(int version, int adviceMillis) {
     ObjectNode node = PlatformHttpServer.MAPPER.createObjectNode().put("version", version);
     ObjectNode route = node.putArray("routes").addObject();
     route.put("name", "plans").put("host", "127.0.31.1").put("prefix", "/plans/");
     route.put("service", SimulatedWorkers.SERVICE).put("attempts", 2).put("stretch", 2.0);
     route.put("sloMs", 1000);
-    route.putObject("advice").put("decideMs", 5).put("eachMs", 0.1).put("validMs", 1500);
+    route.putObject("advice").put("decideMs", adviceMillis).put("eachMs", 0.1).put("validMs", 1500);
     return node.toString();
   }
 
@@ -99,18 +108,42 @@
 
   private HttpResponse<String> post(MemberProcess member, String path, String body)
       throws Exception {
-    return send(
-        HttpRequest.newBuilder(URI.create("http://" + member.callerAddress() + path))
-            .POST(HttpRequest.BodyPublishers.ofString(body)));
+    return send(requestTo(member, path).POST(HttpRequest.BodyPublishers.ofString(body)));
+  }
+
+  private static HttpRequest.Builder requestTo(MemberProcess member, String path) {
+    return HttpRequest.newBuilder(URI.create("http://" + member.callerAddress() + path));
+  }
+
+  /** Sends a request whose caller waits as long as the test, without waiting for the answer. */
+  private CompletableFuture<HttpResponse<String>> sendAsync(HttpRequest.Builder request) {
+    return client.sendAsync(
+        request
+            .timeout(AWAIT_TIMEOUT)
+            .header("Hyssopport-Deadline-Ms", String.valueOf(AWAIT_TIMEOUT.toMillis()))
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
   }
 
   /** Submits a job of one step until it is accepted; only the first member's host has a route. */
   private JobId submit(MemberProcess member, int tasks, int millis) throws Exception {
-    lastJobNumber++;
-    JobId id = new JobId(String.format("%016x", lastJobNumber));
+    JobId id = recordJob(tasks, millis);
+    String body = jobBody(tasks, millis);
+    await(() -> post(member, "/plans/" + id, body).statusCode() == 200);
+    return id;
+  }
+
+  private static String jobBody(int tasks, int millis) {
     ObjectNode body = PlatformHttpServer.MAPPER.createObjectNode().put("spec", "text");
     ObjectNode step = body.putArray("steps").addObject();
     step.put("count", tasks).put("cpu", 1000).put("memMb", 100).put("estMs", millis);
+    return body.toString();
+  }
+
+  /** Tells the checker of runs that a job of one step is about to be submitted. */
+  private JobId recordJob(int tasks, int millis) {
+    lastJobNumber++;
+    JobId id = new JobId(String.format("%016x", lastJobNumber));
     StepDefinition definition =
         new StepDefinition(
             tasks,
@@ -126,7 +159,6 @@
             false,
             false);
     workers.runChecker().recordSubmission(id, List.of(definition));
-    await(() -> post(member, "/plans/" + id, body.toString()).statusCode() == 200);
     return id;
   }
 
@@ -134,6 +166,26 @@
     await(() -> get(member.callerAddress(), "/plans/" + id).body().contains(state));
   }
 
+  /** Kills the first member and starts it again under its address, below another scheduler. */
+  private void restartFirstMember() throws Exception {
+    members.get(0).kill();
+    await(() -> logOfOtherMembers().contains("term begun"));
+    MemberProcess restarted = MemberProcess.start(directory, 1, store.address(), workers.address());
+    members.set(0, restarted);
+    await(() -> restarted.log().contains("scheduler of a newer term found"));
+    await(() -> get(restarted.readinessAddress(), "/api/ready").statusCode() == 200);
+  }
+
+  private String logOfOtherMembers() throws IOException {
+    return members.get(1).log() + members.get(2).log();
+  }
+
+  private boolean otherMembersLogged(String event, JobId id) throws IOException {
+    return logOfOtherMembers()
+        .lines()
+        .anyMatch(line -> line.contains("\"" + event + "\"") && line.contains(id.text()));
+  }
+
   @Test
   void jobsAreServedFromEndToEnd() throws Exception {
     MemberProcess firstMember = members.get(0);
@@ -200,4 +252,74 @@
     JobId job = submit(members.get(0), 2, 200);
     awaitState(members.get(0), job, "complete");
   }
+
+  // A member that restarted answered a request with the answer that the scheduler owed to the
+  // process before it, whose request had the same number.
+  @Test
+  void answersOwedToKilledMembersDoNotCompleteRequestsOfTheirSuccessors() throws Exception {
+    restartFirstMember();
+    JobId running = submit(members.get(0), 1, 60_000);
+    awaitState(members.get(0), running, "running");
+    restartFirstMember();
+    store.holdAppends("keyed.jobs");
+    JobId accepted = recordJob(2, 200);
+    HttpRequest.BodyPublisher body = HttpRequest.BodyPublishers.ofString(jobBody(2, 200));
+    CompletableFuture<HttpResponse<String>> submission =
+        sendAsync(requestTo(members.get(0), "/plans/" + accepted).POST(body));
+    await(() -> otherMembersLogged("accepted", accepted) && store.heldAppendCount() == 1);
+    restartFirstMember();
+    assertThrows(ExecutionException.class, submission::get);
+    CompletableFuture<HttpResponse<String>> cancellation =
+        sendAsync(requestTo(members.get(0), "/plans/" + running).DELETE());
+    await(() -> otherMembersLogged("cancelled", running));
+    store.releaseOneAppend();
+    // The scheduler answers the submission before it stores the cancellation.
+    await(() -> store.heldAppendCount() == 2);
+    assertThrows(
+        TimeoutException.class, () -> cancellation.get(500, TimeUnit.MILLISECONDS).statusCode());
+    await(() -> members.get(0).log().contains("answer to an earlier process dropped"));
+    store.releaseAppends();
+    assertEquals(200, cancellation.get().statusCode());
+    awaitState(members.get(0), running, "cancelled");
+    awaitState(members.get(0), accepted, "complete");
+    assertEquals(List.of(), workers.runChecker().findings());
+  }
+
+  // A start carried the ticket of another step, since the call for that step's advice, in an
+  // earlier term of the same member, had the same number.
+  @Test
+  void adviceOwedToEarlierTermsIsNotUsedForOtherSteps() throws Exception {
+    MemberProcess firstMember = members.get(0);
+    store.put("keyed.op", "config", configuration(4, 20_000));
+    await(() -> firstMember.log().contains("\"version\":4"));
+    workers.holdAdvice();
+    JobId cancelledJob = submit(firstMember, 1, 200);
+    await(() -> workers.hasHeldAdvice(cancelledJob));
+    String path = "/plans/" + cancelledJob;
+    await(() -> send(requestTo(firstMember, path).DELETE()).statusCode() == 200);
+    store.fenceNextAppend("keyed.jobs");
+    JobId job = submit(firstMember, 1, 200);
+    await(() -> workers.hasHeldAdvice(job));
+    assertTrue(anyMemberLogged("\"term begun\"", 2), "the same member did not lead both terms");
+    workers.releaseAdvice(cancelledJob);
+    await(
+        () ->
+            anyMemberLogged("\"advice for another term dropped\"", 1)
+                || !workers.refusedTickets().isEmpty());
+    assertEquals(List.of(), workers.refusedTickets());
+    workers.releaseAdvice(job);
+    awaitState(firstMember, job, "complete");
+    assertEquals(List.of(), workers.refusedTickets());
+    assertEquals(List.of(), workers.runChecker().findings());
+  }
+
+  /** Returns whether the log of one member contains a text at least the given number of times. */
+  private boolean anyMemberLogged(String text, int times) throws IOException {
+    for (MemberProcess member : members) {
+      if (member.log().lines().filter(line -> line.contains(text)).count() >= times) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
