Give each process of tests its own loopback hosts

What was seen: three of seven PlatformEndToEndTests failed in one run (19:10:45 to 19:13:08): 'expected: <503> but was: <200>' while the store stand-in was down, and two members that were not ready within a minute.

Cause: members listen on fixed ports of fixed hosts, and another work tree ran the same tests from 19:10:43 to 19:12:22, so that each run spoke to the members of the other. Change: the hosts are derived from the process id of the tests.

--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/MemberProcess.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/MemberProcess.java
@@ -40,7 +40,7 @@
    */
   public static MemberProcess start(Path directory, int number, String store, String advice)
       throws IOException {
-    String ip = "127.0.31." + number;
+    String ip = LoopbackHosts.host(number);
     Path settings = directory.resolve("member-" + number + ".json");
     Files.writeString(settings, settingsJson(ip, number, store, advice).toString());
     Path log = directory.resolve("member-" + number + ".log");
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PendingJobsEndToEndTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PendingJobsEndToEndTests.java
@@ -54,8 +54,8 @@
 
   @BeforeEach
   void start() throws Exception {
-    store = StoreStandIn.open("127.0.31.110");
-    workers = WorkersStandIn.open("127.0.31.111", 2, Resources.of(64, 262_144, 0), store);
+    store = StoreStandIn.open(LoopbackHosts.host(110));
+    workers = WorkersStandIn.open(LoopbackHosts.host(111), 2, Resources.of(64, 262_144, 0), store);
     store.put("keyed.op", "config", configuration());
     for (int number = FIRST_MEMBER; number < FIRST_MEMBER + MEMBER_COUNT; number++) {
       members.put(
@@ -79,7 +79,7 @@
     ArrayNode routes = node.putArray("routes");
     for (int number = FIRST_MEMBER; number < FIRST_MEMBER + MEMBER_COUNT; number++) {
       ObjectNode route = routes.addObject();
-      route.put("name", "plans").put("host", "127.0.31." + number).put("prefix", "/plans/");
+      route.put("name", "plans").put("host", LoopbackHosts.host(number)).put("prefix", "/plans/");
       route.put("service", SimulatedWorkers.SERVICE).put("attempts", 2).put("stretch", 2.0);
       route.put("sloMs", 1000);
     }
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
@@ -49,8 +49,8 @@
 
   @BeforeEach
   void start() throws Exception {
-    store = StoreStandIn.open("127.0.31.100");
-    workers = WorkersStandIn.open("127.0.31.101", 6, Resources.of(64, 262_144, 0), store);
+    store = StoreStandIn.open(LoopbackHosts.host(100));
+    workers = WorkersStandIn.open(LoopbackHosts.host(101), 6, Resources.of(64, 262_144, 0), store);
     store.put("keyed.op", "config", configuration(3));
     for (int number = 1; number <= MEMBER_COUNT; number++) {
       members.add(MemberProcess.start(directory, number, store.address(), workers.address()));
@@ -74,7 +74,7 @@
   private static String configuration(int version, int adviceMillis) {
     ObjectNode node = PlatformHttpServer.MAPPER.createObjectNode().put("version", version);
     ObjectNode route = node.putArray("routes").addObject();
-    route.put("name", "plans").put("host", "127.0.31.1").put("prefix", "/plans/");
+    route.put("name", "plans").put("host", LoopbackHosts.host(1)).put("prefix", "/plans/");
     route.put("service", SimulatedWorkers.SERVICE).put("attempts", 2).put("stretch", 2.0);
     route.put("sloMs", 1000);
     route.putObject("advice").put("decideMs", adviceMillis).put("eachMs", 0.1).put("validMs", 1500);
