--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -76,7 +76,7 @@
   private boolean recovered;
   private boolean storeAvailable = true;
   private Instant lastStoreAnswerAt = Instant.MIN;
-  private Instant journalCurrentUntil = Instant.MIN;
+  private Optional<Instant> journalReadAt = Optional.empty();
 
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
@@ -138,6 +138,14 @@
     return recovered ? Optional.of(jobs.pendingByQueue()) : Optional.empty();
   }
 
+  /**
+   * Returns until when the entries of other members are known: the time at which the last complete
+   * read of the journal was sent, by the local monotonic clock; empty before the first one.
+   */
+  public Optional<Instant> journalReadAt() {
+    return journalReadAt;
+  }
+
   /** Returns how many jobs have not ended. */
   public int activeJobs() {
     return jobs.active().size();
@@ -439,7 +447,9 @@
     Optional<Job> found = jobs.find(id);
     if (found.isPresent()) {
       reply(caller, CallerAnswer.state(found.get().storedState()));
-    } else if (context.now().isBefore(journalCurrentUntil)) {
+    } else if (journalReadAt
+        .filter(readAt -> context.now().isBefore(readAt.plus(MAXIMUM_JOURNAL_AGE)))
+        .isPresent()) {
       reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
     } else {
       // Another member may have stored the job since the journal was last read.
@@ -449,9 +459,8 @@
   }
 
   private void onJournalRead(Instant sentAt) {
-    Instant currentUntil = sentAt.plus(MAXIMUM_JOURNAL_AGE);
-    if (currentUntil.isAfter(journalCurrentUntil)) {
-      journalCurrentUntil = currentUntil;
+    if (journalReadAt.filter(sentAt::isBefore).isEmpty()) {
+      journalReadAt = Optional.of(sentAt);
     }
   }
 
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -171,6 +171,14 @@
       assertTrue(answer.retryAfter().isPresent());
     }
 
+    @Test
+    void countFromTheLatestReadThatReachedTheEndOfTheJournal() {
+      assertEquals(Optional.of(NOW), scheduler.journalReadAt());
+      feed(new SchedulerEvent.JournalRead(NOW.plusMillis(500)));
+      feed(new SchedulerEvent.JournalRead(NOW.plusMillis(250)));
+      assertEquals(Optional.of(NOW.plusMillis(500)), scheduler.journalReadAt());
+    }
+
     @Test
     void areUnavailableIfOnlyTheAnswerToTheReadIsRecent() {
       Instant later = NOW.plusSeconds(3);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/PendingJobs.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/PendingJobs.java
@@ -14,7 +14,7 @@
  * @param term the term of the scheduler
  * @param byQueue the number of jobs that have not started, by the name of the queue; a queue that
  *     is absent has none
- * @param countedAt when they were counted, or earlier, by the local monotonic clock
+ * @param countedAt the time up to which all accepted jobs are counted, by the local monotonic clock
  */
 record PendingJobs(long term, Map<String, Integer> byQueue, Instant countedAt) {
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -325,10 +325,15 @@
   private void tick() {
     execute(
         scheduler.handle(new SchedulerEvent.Ticked(), context.clock().instant(), Instant.now()));
+    // Jobs that other members stored since the journal was read are missing from the counts.
     pendingJobs =
         scheduler
             .pendingByQueue()
-            .map(byQueue -> new PendingJobs(term, byQueue, context.clock().instant()));
+            .flatMap(
+                byQueue ->
+                    scheduler
+                        .journalReadAt()
+                        .map(readAt -> new PendingJobs(term, byQueue, readAt)));
     activeJobs = scheduler.activeJobs();
     Instant silentBefore = context.clock().instant().minus(MEMBER_TIMEOUT);
     memberLastSeen.values().removeIf(silentBefore::isAfter);
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
@@ -94,7 +94,7 @@
 
     // Guards against answering "none" from the announcement of a term that has not counted yet.
     @Test
-    void areUnknownUntilASchedulerHasCounted() {
+    void areUnknownUntilSchedulersHaveCounted() {
       receiveHeartbeat(1, Optional.empty());
       assertEquals(Optional.empty(), pendingPlans());
     }
@@ -115,7 +115,7 @@
 
     // Guards against dating a count from a heartbeat that carries none.
     @Test
-    void expireAlthoughHeartbeatsWithoutACountArrive() {
+    void expireAlthoughHeartbeatsWithoutCountsArrive() {
       receiveHeartbeat(1, fivePlans(START, 0));
       now = START.plusMillis(1900);
       receiveHeartbeat(2, Optional.empty());
