--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -42,7 +44,7 @@
 
   /**
    * Limits the memory for cancellations of unknown jobs; all of them are dropped at this number.
-   * Far fewer arrive before the entry of a job that another member stored is read.
+   * Far fewer arrive before an append that was on its way reaches the journal.
    */
   private static final int MAXIMUM_CANCELLED_UNKNOWN_JOBS = 10_000;
 
@@ -52,6 +54,9 @@
    */
   private static final Duration MAXIMUM_JOURNAL_AGE = Duration.ofMillis(1500);
 
+  /** Several reads of the journal are sent in this time, unless they fail. */
+  private static final Duration CANCELLATION_WAIT = Duration.ofSeconds(1);
+
   private final SchedulerContext context;
   private final JobRegistry jobs = new JobRegistry();
   private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry();
@@ -61,9 +66,12 @@
   private final PlacementManager placement;
   private final WorkerPoller poller;
 
+  /** The cancellations of unknown jobs that wait for a read of the journal, in their order. */
+  private final Deque<WaitingCancellation> waitingCancellations = new ArrayDeque<>();
+
   /**
    * Unknown jobs that callers cancelled; such a job is cancelled once its entry is read, if another
-   * member stored it.
+   * member stores it after all.
    */
   private final Set<JobId> cancelledUnknownJobs = new HashSet<>();
 
@@ -78,6 +86,13 @@
   private Instant lastStoreAnswerAt = Instant.MIN;
   private Instant journalCurrentUntil = Instant.MIN;
 
+  /**
+   * A cancellation of an unknown job, which waits for a read of the journal that is sent after it
+   * arrived.
+   */
+  private record WaitingCancellation(
+      CallerRequestId caller, JobId job, Instant arrivedAt, Instant giveUpAt) {}
+
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
     runManager = new RunManager(context, jobs, workers, journal);
@@ -186,6 +201,7 @@
     if (recovered) {
       poller.expireLeases();
     }
+    giveUpCancellations();
     context.requestPlacement();
     runManager.resendStops();
     Instant forgetBefore = context.now().minus(context.settings().retention());
@@ -402,12 +418,7 @@
       return;
     }
     if (found.isEmpty()) {
-      // Another member may have stored the job already; it is cancelled once its entry is read.
-      if (cancelledUnknownJobs.size() >= MAXIMUM_CANCELLED_UNKNOWN_JOBS) {
-        cancelledUnknownJobs.clear();
-      }
-      cancelledUnknownJobs.add(id);
-      reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
+      cancelAfterJournalRead(caller, id);
       return;
     }
     if (!found.get().isEnded()) {
@@ -422,6 +433,55 @@
     }
   }
 
+  /**
+   * Answers the cancellation of an unknown job once the journal has been read, since another member
+   * may have stored the job. A next scheduler would run the job if its caller were told now that
+   * there is none.
+   */
+  private void cancelAfterJournalRead(CallerRequestId caller, JobId id) {
+    if (!storeAvailable || waitingCancellations.size() >= MAXIMUM_CANCELLED_UNKNOWN_JOBS) {
+      reply(caller, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+      return;
+    }
+    waitingCancellations.add(
+        new WaitingCancellation(caller, id, context.now(), context.now().plus(CANCELLATION_WAIT)));
+  }
+
+  private void answerCancellationsBefore(Instant readSentAt) {
+    while (!waitingCancellations.isEmpty()
+        && !waitingCancellations.peek().arrivedAt().isAfter(readSentAt)) {
+      WaitingCancellation waiting = waitingCancellations.remove();
+      if (jobs.find(waiting.job()).isPresent()) {
+        cancel(waiting.caller(), waiting.job());
+      } else {
+        rememberCancellation(waiting.job());
+        reply(waiting.caller(), CallerAnswer.of(Verdict.UNKNOWN_JOB));
+      }
+    }
+  }
+
+  /** Answers the cancellations that have waited too long for a read of the journal. */
+  private void giveUpCancellations() {
+    while (!waitingCancellations.isEmpty()
+        && !context.now().isBefore(waitingCancellations.peek().giveUpAt())) {
+      WaitingCancellation waiting = waitingCancellations.remove();
+      if (jobs.find(waiting.job()).isPresent()) {
+        cancel(waiting.caller(), waiting.job());
+      } else {
+        context.logDecision(
+            "job not known yet", waiting.job(), Map.of("reason", "journal not read in time"));
+        reply(waiting.caller(), CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+      }
+    }
+  }
+
+  private void rememberCancellation(JobId id) {
+    if (cancelledUnknownJobs.size() >= MAXIMUM_CANCELLED_UNKNOWN_JOBS) {
+      cancelledUnknownJobs.clear();
+    }
+    cancelledUnknownJobs.add(id);
+  }
+
   private void cancelIfKnown(JobId id) {
     jobs.find(id)
         .filter(job -> !job.isEnded())
@@ -452,6 +512,7 @@
     if (currentUntil.isAfter(journalCurrentUntil)) {
       journalCurrentUntil = currentUntil;
     }
+    answerCancellationsBefore(sentAt);
   }
 
   private void applyEntryFromOtherMember(JournalEntry entry) {
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -205,13 +205,48 @@
 
     @Test
     void takeEffectForJobsOfOtherMembersThatWereNotReadYet() {
-      assertEquals(
-          Verdict.UNKNOWN_JOB, answers(request(new CallerRequest.Cancel(ID))).get(0).verdict());
+      assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalRead(NOW));
+      List<CallerAnswer> answers = answers(feed(new SchedulerEvent.JournalBatchStored()));
+      assertEquals(Verdict.CANCELLED, answers.get(0).verdict());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
+    @Test
+    void takeEffectForJobsThatAreStoredAfterTheyWereFoundToBeUnknown() {
+      List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Cancel(ID)));
+      effects.addAll(feed(new SchedulerEvent.JournalRead(NOW)));
+      assertEquals(Verdict.UNKNOWN_JOB, answers(effects).get(0).verdict());
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
       CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
+
+    @Test
+    void ofUnknownJobsAreNotAnsweredByReadsThatWereSentBefore() {
+      request(new CallerRequest.Cancel(ID));
+      assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalRead(NOW.minusMillis(1)))));
+    }
+
+    @Test
+    void ofUnknownJobsAreUnavailableIfTheJournalIsNotRead() {
+      request(new CallerRequest.Cancel(ID));
+      Instant later = NOW.plusSeconds(1);
+      CallerAnswer answer =
+          answers(scheduler.handle(new SchedulerEvent.Ticked(), later, later)).get(0);
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+      assertTrue(answer.retryAfter().isPresent());
+    }
+
+    @Test
+    void ofUnknownJobsAreUnavailableAtOnceIfTheStoreIsNotAvailable() {
+      feed(new SchedulerEvent.StoreAvailabilityChanged(false));
+      CallerAnswer answer = answers(request(new CallerRequest.Cancel(ID))).get(0);
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+    }
   }
 
   /**
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -53,7 +53,7 @@
   private final CellScheduler scheduler;
   private final List<String> decisions;
   private final Map<String, Instant> memberFreeAt = new HashMap<>();
-  private int memberEntriesRead;
+  private int nextUnreadOffset;
   private boolean decisionScheduled;
   private boolean storeAvailable = true;
   private boolean ended;
@@ -80,7 +80,7 @@
 
   void begin() {
     journal.fence(term);
-    memberEntriesRead = journal.memberEntries().size();
+    nextUnreadOffset = journal.endOffset();
     handle(new SchedulerEvent.Recovered(journal.entries(), workers.describeLiveWorkers()));
     handle(new SchedulerEvent.JournalRead(time.now()));
     Set<String> names = new HashSet<>();
@@ -125,18 +125,17 @@
   private void readJournal() {
     if (!ended) {
       Instant sentAt = time.now();
-      time.afterMillis(STORE_DELAY_MILLIS, () -> deliverMemberEntries(sentAt));
+      time.afterMillis(STORE_DELAY_MILLIS, () -> deliverEntriesOfOthers(sentAt));
       time.afterMillis(JOURNAL_READ_INTERVAL_MILLIS, this::readJournal);
     }
   }
 
-  private void deliverMemberEntries(Instant sentAt) {
+  private void deliverEntriesOfOthers(Instant sentAt) {
     if (!journal.isReadable()) {
       return;
     }
-    List<JournalEntry> entries = journal.memberEntries();
-    List<JournalEntry> unread = entries.subList(memberEntriesRead, entries.size());
-    memberEntriesRead = entries.size();
+    List<JournalEntry> unread = journal.entriesOfOthers(term, nextUnreadOffset);
+    nextUnreadOffset = journal.endOffset();
     if (!unread.isEmpty()) {
       handle(new SchedulerEvent.OtherMemberEntriesRead(unread));
     }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.hyssopport.engine.job.JournalEntry;
 
 /**
@@ -16,11 +17,14 @@
 
   private final Map<String, JournalEntry> newestEntries = new LinkedHashMap<>();
   private long newestTerm;
-  private final List<JournalEntry> memberEntries = new ArrayList<>();
+  private final List<AppendedEntry> log = new ArrayList<>();
   private boolean down;
   private boolean failingReads;
   private double lostAnswerShare;
 
+  /** An entry and the term that appended it, empty if a member did without a scheduler. */
+  private record AppendedEntry(Optional<Long> term, JournalEntry entry) {}
+
   /** Makes the store unavailable, or available again. */
   public void setDown(boolean nowDown) {
     down = nowDown;
@@ -67,6 +71,7 @@
       return false;
     }
     for (JournalEntry entry : entries) {
+      log.add(new AppendedEntry(Optional.of(term), entry));
       if (entry instanceof JournalEntry.Forgotten) {
         newestEntries.keySet().removeIf(key -> key.endsWith(entry.job().text()));
       } else {
@@ -79,12 +84,20 @@
   /** Appends an entry of a member that does not lead, which no term fences. */
   void appendWithoutTerm(JournalEntry entry) {
     newestEntries.put(entry.getClass().getSimpleName() + entry.job().text(), entry);
-    memberEntries.add(entry);
+    log.add(new AppendedEntry(Optional.empty(), entry));
+  }
+
+  /** Returns the number of entries that were appended so far. */
+  int endOffset() {
+    return log.size();
   }
 
-  /** Returns the entries that members appended without a term, in order. */
-  List<JournalEntry> memberEntries() {
-    return new ArrayList<>(memberEntries);
+  /** Returns the entries from an offset that another term or no term appended, in order. */
+  List<JournalEntry> entriesOfOthers(long term, int fromOffset) {
+    return log.subList(fromOffset, log.size()).stream()
+        .filter(appended -> appended.term().filter(other -> other == term).isEmpty())
+        .map(AppendedEntry::entry)
+        .toList();
   }
 
   List<JournalEntry> entries() {
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
@@ -245,10 +245,11 @@
     if (answer.verdict() == Verdict.ACCEPTED) {
       acceptedAt.putIfAbsent(id, time.now());
       visibleFrom.putIfAbsent(id, time.now());
-    } else if (answer.verdict() == Verdict.CANCELLED) {
+    } else if (confirmsCancellation(request, answer)) {
       cancelledJobs.add(id);
       workers.runChecker().recordCancellation(id, time.now());
-    } else if (answer.verdict() == Verdict.UNKNOWN_JOB && isVisible(id)) {
+    }
+    if (answer.verdict() == Verdict.UNKNOWN_JOB && isVisible(id)) {
       workers
           .runChecker()
           .addFinding(time.now() + " accepted job is unknown to the scheduler: " + id);
@@ -256,6 +257,15 @@
     answer.state().ifPresent(state -> recordState(id, state));
   }
 
+  /** Returns whether an answer tells a caller that an accepted job no longer runs. */
+  private boolean confirmsCancellation(CallerRequest request, CallerAnswer answer) {
+    boolean unknown = answer.verdict() == Verdict.UNKNOWN_JOB;
+    return answer.verdict() == Verdict.CANCELLED
+        || (unknown
+            && request instanceof CallerRequest.Cancel
+            && acceptedAt.containsKey(request.job()));
+  }
+
   private boolean isVisible(JobId id) {
     return Optional.ofNullable(visibleFrom.get(id))
         .filter(from -> !time.now().isBefore(from))
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
@@ -113,6 +113,20 @@
       advanceAndCheck(Duration.ofSeconds(5));
       assertEquals(Optional.of(JobState.COMPLETE), simulation.state(job));
     }
+
+    // The caller was told that there is no such job, and the next scheduler ran it.
+    @Test
+    void cancelledJobsOfOtherMembersDoNotRunInTheNextTerm() {
+      simulation.advance(Duration.ofSeconds(1));
+      simulation.journal().setFailingReads(true);
+      JobId job = simulation.submitWithoutScheduler(Steps.queue(0, 2), steps);
+      simulation.cancel(job);
+      simulation.advance(Duration.ofSeconds(2));
+      simulation.killScheduler();
+      simulation.journal().setFailingReads(false);
+      advanceAndCheck(Duration.ofSeconds(9));
+      assertEquals(Optional.of(JobState.CANCELLED), simulation.state(job));
+    }
   }
 
   @Nested
