Answer cancellations once the job's acceptance is stored or refused

What callers saw: a caller who cancelled a job while its acceptance was being stored was told 410 at once, although the store then confirmed the job. If the scheduler ended between that and the storing of the cancellation, the job ran.

Cause: CellScheduler.cancel answered UNKNOWN_JOB while the outcome of the append was open.

Evidence: CellSchedulerEventTests.Cancellations failed before the fix: "ofJobsBeingStoredAreAnsweredOnceTheyAreStored:210 expected: <[]> but was: <[CallerAnswer[verdict=UNKNOWN_JOB, ...]]>" and "ofJobsThatTheStoreRefusesFindNoJob:224 expected: <[UNAVAILABLE, UNKNOWN_JOB]> but was: <[UNAVAILABLE]>".

Why it works: the caller waits for the append like the one who submitted the job. If the job is stored, it is cancelled and the answer follows once this is stored; if it is refused, there is no such job.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -75,8 +75,8 @@
    */
   private final Set<JobId> cancelledUnknownJobs = new HashSet<>();
 
-  /** The jobs that were cancelled before their acceptance was stored. */
-  private final Set<JobId> cancelledBeforeStored = new HashSet<>();
+  /** The callers that cancel a job whose acceptance is neither stored nor refused yet. */
+  private final Map<JobId, List<CallerRequestId>> cancellingBeforeStored = new HashMap<>();
 
   /** The callers that wait until the acceptance of a job is stored or refused. */
   private final Map<JobId, List<CallerRequestId>> awaitingAcceptance = new HashMap<>();
@@ -389,9 +389,11 @@
     job.markAcceptanceStored();
     context.requestPlacement();
     replyToAll(job, CallerAnswer.of(Verdict.ACCEPTED));
-    if (cancelledBeforeStored.remove(job.id())) {
-      cancelIfKnown(job.id());
-    }
+    removeCancelling(job).forEach(caller -> cancel(caller, job.id()));
+  }
+
+  private List<CallerRequestId> removeCancelling(Job job) {
+    return Optional.ofNullable(cancellingBeforeStored.remove(job.id())).orElse(List.of());
   }
 
   private void replyToAll(Job job, CallerAnswer answer) {
@@ -403,18 +405,17 @@
 
   private void withdrawAcceptance(Job job) {
     jobs.remove(job.id());
-    cancelledBeforeStored.remove(job.id());
     journal.withdraw(job);
     replyToAll(job, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+    removeCancelling(job).forEach(caller -> reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB)));
     context.logDecision("rejected", job.id(), Map.of("reason", "journal store refused the record"));
   }
 
   private void cancel(CallerRequestId caller, JobId id) {
     Optional<Job> found = jobs.find(id);
     if (awaitingAcceptance.containsKey(id)) {
-      // The store may still refuse the job, so neither the job nor its cancellation is confirmed.
-      cancelledBeforeStored.add(id);
-      reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
+      // The store may still refuse the job, and there is none then.
+      cancellingBeforeStored.computeIfAbsent(id, each -> new ArrayList<>()).add(caller);
       return;
     }
     if (found.isEmpty()) {
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -203,6 +203,29 @@
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
+    // Answered with 410 at once, before the store had confirmed or refused the job.
+    @Test
+    void ofJobsBeingStoredAreAnsweredOnceTheyAreStored() {
+      request(new CallerRequest.Submit(job()));
+      assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
+      List<SchedulerEffect> effects =
+          new ArrayList<>(feed(new SchedulerEvent.JournalBatchStored()));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
+      assertEquals(
+          List.of(Verdict.ACCEPTED, Verdict.CANCELLED),
+          answers(effects).stream().map(CallerAnswer::verdict).toList());
+    }
+
+    @Test
+    void ofJobsThatTheStoreRefusesFindNoJob() {
+      request(new CallerRequest.Submit(job()));
+      request(new CallerRequest.Cancel(ID));
+      List<SchedulerEffect> effects = feed(new SchedulerEvent.JournalBatchRefused());
+      assertEquals(
+          List.of(Verdict.UNAVAILABLE, Verdict.UNKNOWN_JOB),
+          answers(effects).stream().map(CallerAnswer::verdict).toList());
+    }
+
     @Test
     void takeEffectForJobsOfOtherMembersThatWereNotReadYet() {
       assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
