Remember cancellations that are read before their job

What callers saw: a member without a scheduler stored a cancellation and told its caller 200. A scheduler that began afterwards cancelled it.

Cause: CellScheduler.applyEntryFromOtherMember ignored a Cancelled entry of a job that it did not know yet.

Evidence: CellSchedulerEventTests.Cancellations failed before the fix: "thatOtherMembersStoreBeforeTheirJobsTakeEffect:282 expected: <Optional[CANCELLED]> but was: <Optional[QUEUED]>".

Why it works: the cancellation joins those of unknown jobs that callers sent to this scheduler; they take effect when the job's entry is read.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -526,6 +526,10 @@
         cancelIfKnown(entry.job());
       }
     } else if (entry instanceof JournalEntry.Cancelled) {
+      if (jobs.find(entry.job()).isEmpty()) {
+        // The append of the job may still be on its way.
+        rememberCancellation(entry.job());
+      }
       cancelIfKnown(entry.job());
     }
   }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -270,6 +270,17 @@
       CallerAnswer answer = answers(request(new CallerRequest.Cancel(ID))).get(0);
       assertEquals(Verdict.UNAVAILABLE, answer.verdict());
     }
+
+    // The entry was dropped, and the job ran although its caller was told 200.
+    @Test
+    void thatOtherMembersStoreBeforeTheirJobsTakeEffect() {
+      feed(
+          new SchedulerEvent.OtherMemberEntriesRead(
+              List.of(new JournalEntry.Cancelled(ID), new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
   }
 
   /**
