--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -324,7 +324,7 @@
     return switch (lookup.status()) {
       case KNOWN -> CallerAnswer.state(lookup.state().orElseThrow());
       case ABSENT -> CallerAnswer.of(Verdict.UNKNOWN_JOB);
-      case UNREACHABLE -> CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, RETRY_AFTER);
+      case UNREACHABLE, UNREADABLE -> CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, RETRY_AFTER);
     };
   }
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JobStateCache.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JobStateCache.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
@@ -27,6 +29,10 @@
 
   private final MemberContext context;
   private final Map<JobId, JobState> states = new HashMap<>();
+
+  /** The keys whose newest record can't be decoded. */
+  private final Set<String> unreadableKeys = new HashSet<>();
+
   private Optional<Long> nextOffset = Optional.empty();
   private Instant readAt = Instant.MIN;
 
@@ -38,6 +44,8 @@
   enum LookupStatus {
     /** The journal could not be read. */
     UNREACHABLE,
+    /** A record of the job can't be decoded, so its state is not known. */
+    UNREADABLE,
     /** The journal has no such job. */
     ABSENT,
     /** The journal has the job. */
@@ -57,6 +65,9 @@
     if (context.clock().instant().isAfter(readAt.plus(MAXIMUM_AGE)) && !refresh()) {
       return new JobLookup(LookupStatus.UNREACHABLE, Optional.empty());
     }
+    if (hasUnreadableRecord(id)) {
+      return new JobLookup(LookupStatus.UNREADABLE, Optional.empty());
+    }
     Optional<JobState> state = Optional.ofNullable(states.get(id));
     return new JobLookup(state.isPresent() ? LookupStatus.KNOWN : LookupStatus.ABSENT, state);
   }
@@ -83,6 +94,7 @@
     }
     if (nextOffset.isEmpty()) {
       states.clear();
+      unreadableKeys.clear();
     }
     applyRecords(page.get().records());
     nextOffset = Optional.of(page.get().nextOffset());
@@ -91,21 +103,41 @@
   }
 
   private void applyRecords(List<StoreRecord> records) {
-    for (JournalEntry entry : JournalCodec.decodeAll(records, context.log())) {
-      // A Cancelled entry changes no state here: the scheduler records the result as progress.
-      if (entry instanceof JournalEntry.Accepted) {
-        states.putIfAbsent(entry.job(), JobState.QUEUED);
-      } else if (entry instanceof JournalEntry.Progressed progressed) {
-        boolean started = !progressed.progress().tasks().isEmpty();
-        JobState storedState = progressed.progress().state();
-        states.put(
-            entry.job(), started && !storedState.isTerminal() ? JobState.RUNNING : storedState);
-      }
-    }
     for (StoreRecord record : records) {
-      if (record.value().isEmpty() && !record.key().isEmpty()) {
-        JobId.parse(record.key().substring(1)).ifPresent(states::remove);
+      Either<String, Optional<JournalEntry>> decoded = JournalCodec.decode(record);
+      if (decoded.isLeft()) {
+        context
+            .log()
+            .write(
+                "journal record not decodable; its job is answered as unavailable",
+                Map.of("offset", record.offset(), "reason", decoded.getLeft()));
+        unreadableKeys.add(record.key());
+        continue;
       }
+      unreadableKeys.remove(record.key());
+      decoded.get().ifPresentOrElse(this::applyEntry, () -> forget(record.key()));
     }
   }
+
+  private void applyEntry(JournalEntry entry) {
+    // A Cancelled entry changes no state here: the scheduler records the result as progress.
+    if (entry instanceof JournalEntry.Accepted) {
+      states.putIfAbsent(entry.job(), JobState.QUEUED);
+    } else if (entry instanceof JournalEntry.Progressed progressed) {
+      boolean started = !progressed.progress().tasks().isEmpty();
+      JobState storedState = progressed.progress().state();
+      states.put(
+          entry.job(), started && !storedState.isTerminal() ? JobState.RUNNING : storedState);
+    }
+  }
+
+  private void forget(String key) {
+    if (!key.isEmpty()) {
+      JobId.parse(key.substring(1)).ifPresent(states::remove);
+    }
+  }
+
+  private boolean hasUnreadableRecord(JobId id) {
+    return unreadableKeys.stream().anyMatch(key -> key.endsWith(id.text()));
+  }
 }
--- /dev/null
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
@@ -0,0 +1,165 @@
+package org.hyssopport.launcher.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.job.JobDefinition;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.job.QueuePolicy;
+import org.hyssopport.engine.scheduler.SchedulerSettings;
+import org.hyssopport.launcher.cell.JobStateCache.JobLookup;
+import org.hyssopport.launcher.cell.JobStateCache.LookupStatus;
+import org.hyssopport.platform.InstanceSettings;
+import org.hyssopport.platform.MetadataStore;
+import org.hyssopport.platform.StoreWrite;
+import org.hyssopport.platform.WorkerGateway;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Tests the states of jobs that a member reads from the journal.
+ *
+ * <p>Guards against taking a record that can't be decoded for one that is not there.
+ */
+class JobStateCacheTests {
+
+  private static final JobId ID = new JobId("0123456789abcdef");
+  private static final byte[] UNREADABLE = {(byte) 0xc1};
+
+  private final List<String> items = new ArrayList<>();
+  private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
+  private HttpServer storeServer;
+  private JobStateCache cache;
+
+  @BeforeEach
+  void start() throws IOException {
+    storeServer = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    storeServer.createContext(
+        "/api/log-newest",
+        exchange -> {
+          String text =
+              "{\"items\":[" + String.join(",", items) + "],\"end\":" + items.size() + "}";
+          byte[] body = text.getBytes(StandardCharsets.UTF_8);
+          exchange.sendResponseHeaders(200, body.length);
+          exchange.getResponseBody().write(body);
+          exchange.close();
+        });
+    storeServer.start();
+    InstanceSettings settings =
+        new InstanceSettings(
+            "member",
+            "ourthe",
+            "127.0.0.1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            1,
+            0,
+            1,
+            "127.0.0.1:" + storeServer.getAddress().getPort(),
+            Optional.empty(),
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(10),
+            Duration.ofSeconds(3),
+            Duration.ofMinutes(2),
+            Duration.ofSeconds(6));
+    cache =
+        new JobStateCache(
+            new MemberContext(
+                settings,
+                SchedulerSettings.of(
+                    settings.longestLease(), settings.gangWindow(), settings.retention()),
+                MetadataStore.at(settings.storeAddress()),
+                WorkerGateway.create(),
+                new MonotonicClock(),
+                DecisionLog.start(
+                    "member", new PrintStream(logOutput, true, StandardCharsets.UTF_8)),
+                new CellMetrics(),
+                Threads.bounded("orders", 1, 1),
+                Threads.immediate("looks", 1)));
+  }
+
+  @AfterEach
+  void stop() {
+    storeServer.stop(0);
+  }
+
+  private void addRecord(String key, byte[] value) {
+    items.add(
+        "{\"key\":\""
+            + key
+            + "\",\"value\":\""
+            + Base64.getEncoder().encodeToString(value)
+            + "\",\"offset\":"
+            + items.size()
+            + "}");
+  }
+
+  private void addAcceptedJob() {
+    JobDefinition job =
+        new JobDefinition(
+            ID,
+            new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
+            "",
+            List.of(),
+            0,
+            Instant.EPOCH,
+            Duration.ZERO,
+            Instant.EPOCH);
+    for (StoreWrite write : JournalCodec.encode(List.of(new JournalEntry.Accepted(job)))) {
+      addRecord(write.key(), write.value().orElseThrow());
+    }
+  }
+
+  @Test
+  void showsAcceptedJobsAsQueued() {
+    addAcceptedJob();
+    assertEquals(new JobLookup(LookupStatus.KNOWN, Optional.of(JobState.QUEUED)), cache.lookUp(ID));
+  }
+
+  @Test
+  void showsJobsWithoutRecordsAsAbsent() {
+    assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
+  }
+
+  // A job with an unreadable record was shown as absent, or in an earlier state.
+  @ParameterizedTest
+  @ValueSource(strings = {"j", "p"})
+  @Timeout(10)
+  void doesNotKnowTheStateOfJobsWithAnUnreadableRecord(String kind) {
+    if (kind.equals("p")) {
+      addAcceptedJob();
+    }
+    addRecord(kind + ID.text(), UNREADABLE);
+    assertEquals(new JobLookup(LookupStatus.UNREADABLE, Optional.empty()), cache.lookUp(ID));
+    // The log is written by a thread of its own.
+    while (!logOutput.toString(StandardCharsets.UTF_8).contains("not decodable")) {
+      assertTrue(Threads.pause(1));
+    }
+  }
+
+  @Test
+  void showsOtherJobsBesideAnUnreadableRecord() {
+    addAcceptedJob();
+    addRecord("jfedcba9876543210", UNREADABLE);
+    assertEquals(LookupStatus.KNOWN, cache.lookUp(ID).status());
+  }
+}
