--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -42,7 +44,7 @@
 
   /**
    * Limits the memory for cancellations of unknown jobs; all of them are dropped at this number.
-   * Far fewer arrive before the entry of a job that another member stored is read.
+   * Far fewer arrive before an append that was on its way reaches the journal.
    */
   private static final int MAXIMUM_CANCELLED_UNKNOWN_JOBS = 10_000;
 
@@ -52,6 +54,9 @@
    */
   private static final Duration MAXIMUM_JOURNAL_AGE = Duration.ofMillis(1500);
 
+  /** Several reads of the journal are sent in this time, unless they fail. */
+  private static final Duration CANCELLATION_WAIT = Duration.ofSeconds(1);
+
   private final SchedulerContext context;
   private final JobRegistry jobs = new JobRegistry();
   private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry();
@@ -61,14 +66,17 @@
   private final PlacementManager placement;
   private final WorkerPoller poller;
 
+  /** The cancellations of unknown jobs that wait for a read of the journal, in their order. */
+  private final Deque<WaitingCancellation> waitingCancellations = new ArrayDeque<>();
+
   /**
    * Unknown jobs that callers cancelled; such a job is cancelled once its entry is read, if another
-   * member stored it.
+   * member stores it after all.
    */
   private final Set<JobId> cancelledUnknownJobs = new HashSet<>();
 
-  /** The jobs that were cancelled before their acceptance was stored. */
-  private final Set<JobId> cancelledBeforeStored = new HashSet<>();
+  /** The callers that cancel a job whose acceptance is neither stored nor refused yet. */
+  private final Map<JobId, List<CallerRequestId>> cancellingBeforeStored = new HashMap<>();
 
   /** The callers that wait until the acceptance of a job is stored or refused. */
   private final Map<JobId, List<CallerRequestId>> awaitingAcceptance = new HashMap<>();
@@ -78,6 +86,13 @@
   private Instant lastStoreAnswerAt = Instant.MIN;
   private Optional<Instant> journalReadAt = Optional.empty();
 
+  /**
+   * A cancellation of an unknown job, which waits for a read of the journal that is sent after it
+   * arrived.
+   */
+  private record WaitingCancellation(
+      CallerRequestId caller, JobId job, Instant arrivedAt, Instant giveUpAt) {}
+
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
     runManager = new RunManager(context, jobs, workers, journal);
@@ -195,6 +210,7 @@
     if (recovered) {
       poller.expireLeases();
     }
+    giveUpCancellations();
     context.requestPlacement();
     runManager.resendStops();
     Instant forgetBefore = context.now().minus(context.settings().retention());
@@ -382,9 +398,11 @@
     job.markAcceptanceStored();
     context.requestPlacement();
     replyToAll(job, CallerAnswer.of(Verdict.ACCEPTED));
-    if (cancelledBeforeStored.remove(job.id())) {
-      cancelIfKnown(job.id());
-    }
+    removeCancelling(job).forEach(caller -> cancel(caller, job.id()));
+  }
+
+  private List<CallerRequestId> removeCancelling(Job job) {
+    return Optional.ofNullable(cancellingBeforeStored.remove(job.id())).orElse(List.of());
   }
 
   private void replyToAll(Job job, CallerAnswer answer) {
@@ -396,27 +414,21 @@
 
   private void withdrawAcceptance(Job job) {
     jobs.remove(job.id());
-    cancelledBeforeStored.remove(job.id());
     journal.withdraw(job);
     replyToAll(job, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+    removeCancelling(job).forEach(caller -> reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB)));
     context.logDecision("rejected", job.id(), Map.of("reason", "journal store refused the record"));
   }
 
   private void cancel(CallerRequestId caller, JobId id) {
     Optional<Job> found = jobs.find(id);
     if (awaitingAcceptance.containsKey(id)) {
-      // The store may still refuse the job, so neither the job nor its cancellation is confirmed.
-      cancelledBeforeStored.add(id);
-      reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
+      // The store may still refuse the job, and there is none then.
+      cancellingBeforeStored.computeIfAbsent(id, each -> new ArrayList<>()).add(caller);
       return;
     }
     if (found.isEmpty()) {
-      // Another member may have stored the job already; it is cancelled once its entry is read.
-      if (cancelledUnknownJobs.size() >= MAXIMUM_CANCELLED_UNKNOWN_JOBS) {
-        cancelledUnknownJobs.clear();
-      }
-      cancelledUnknownJobs.add(id);
-      reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
+      cancelAfterJournalRead(caller, id);
       return;
     }
     if (!found.get().isEnded()) {
@@ -431,6 +443,55 @@
     }
   }
 
+  /**
+   * Answers the cancellation of an unknown job once the journal has been read, since another member
+   * may have stored the job. A next scheduler would run the job if its caller were told now that
+   * there is none.
+   */
+  private void cancelAfterJournalRead(CallerRequestId caller, JobId id) {
+    if (!storeAvailable || waitingCancellations.size() >= MAXIMUM_CANCELLED_UNKNOWN_JOBS) {
+      reply(caller, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+      return;
+    }
+    waitingCancellations.add(
+        new WaitingCancellation(caller, id, context.now(), context.now().plus(CANCELLATION_WAIT)));
+  }
+
+  private void answerCancellationsBefore(Instant readSentAt) {
+    while (!waitingCancellations.isEmpty()
+        && !waitingCancellations.peek().arrivedAt().isAfter(readSentAt)) {
+      WaitingCancellation waiting = waitingCancellations.remove();
+      if (jobs.find(waiting.job()).isPresent()) {
+        cancel(waiting.caller(), waiting.job());
+      } else {
+        rememberCancellation(waiting.job());
+        reply(waiting.caller(), CallerAnswer.of(Verdict.UNKNOWN_JOB));
+      }
+    }
+  }
+
+  /** Answers the cancellations that have waited too long for a read of the journal. */
+  private void giveUpCancellations() {
+    while (!waitingCancellations.isEmpty()
+        && !context.now().isBefore(waitingCancellations.peek().giveUpAt())) {
+      WaitingCancellation waiting = waitingCancellations.remove();
+      if (jobs.find(waiting.job()).isPresent()) {
+        cancel(waiting.caller(), waiting.job());
+      } else {
+        context.logDecision(
+            "job not known yet", waiting.job(), Map.of("reason", "journal not read in time"));
+        reply(waiting.caller(), CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+      }
+    }
+  }
+
+  private void rememberCancellation(JobId id) {
+    if (cancelledUnknownJobs.size() >= MAXIMUM_CANCELLED_UNKNOWN_JOBS) {
+      cancelledUnknownJobs.clear();
+    }
+    cancelledUnknownJobs.add(id);
+  }
+
   private void cancelIfKnown(JobId id) {
     jobs.find(id)
         .filter(job -> !job.isEnded())
@@ -462,6 +523,7 @@
     if (journalReadAt.filter(sentAt::isBefore).isEmpty()) {
       journalReadAt = Optional.of(sentAt);
     }
+    answerCancellationsBefore(sentAt);
   }
 
   private void applyEntryFromOtherMember(JournalEntry entry) {
@@ -474,6 +536,10 @@
         cancelIfKnown(entry.job());
       }
     } else if (entry instanceof JournalEntry.Cancelled) {
+      if (jobs.find(entry.job()).isEmpty()) {
+        // The append of the job may still be on its way.
+        rememberCancellation(entry.job());
+      }
       cancelIfKnown(entry.job());
     }
   }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -211,15 +211,84 @@
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
+    // Answered with 410 at once, before the store had confirmed or refused the job.
     @Test
-    void takeEffectForJobsOfOtherMembersThatWereNotReadYet() {
+    void ofJobsBeingStoredAreAnsweredOnceTheyAreStored() {
+      request(new CallerRequest.Submit(job()));
+      assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
+      List<SchedulerEffect> effects =
+          new ArrayList<>(feed(new SchedulerEvent.JournalBatchStored()));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
+      assertEquals(
+          List.of(Verdict.ACCEPTED, Verdict.CANCELLED),
+          answers(effects).stream().map(CallerAnswer::verdict).toList());
+    }
+
+    @Test
+    void ofJobsThatTheStoreRefusesFindNoJob() {
+      request(new CallerRequest.Submit(job()));
+      request(new CallerRequest.Cancel(ID));
+      List<SchedulerEffect> effects = feed(new SchedulerEvent.JournalBatchRefused());
       assertEquals(
-          Verdict.UNKNOWN_JOB, answers(request(new CallerRequest.Cancel(ID))).get(0).verdict());
+          List.of(Verdict.UNAVAILABLE, Verdict.UNKNOWN_JOB),
+          answers(effects).stream().map(CallerAnswer::verdict).toList());
+    }
+
+    @Test
+    void takeEffectForJobsOfOtherMembersThatWereNotReadYet() {
+      assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalRead(NOW));
+      List<CallerAnswer> answers = answers(feed(new SchedulerEvent.JournalBatchStored()));
+      assertEquals(Verdict.CANCELLED, answers.get(0).verdict());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
+    @Test
+    void takeEffectForJobsThatAreStoredAfterTheyWereFoundToBeUnknown() {
+      List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Cancel(ID)));
+      effects.addAll(feed(new SchedulerEvent.JournalRead(NOW)));
+      assertEquals(Verdict.UNKNOWN_JOB, answers(effects).get(0).verdict());
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
       CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
+
+    @Test
+    void ofUnknownJobsAreNotAnsweredByReadsThatWereSentBefore() {
+      request(new CallerRequest.Cancel(ID));
+      assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalRead(NOW.minusMillis(1)))));
+    }
+
+    @Test
+    void ofUnknownJobsAreUnavailableIfTheJournalIsNotRead() {
+      request(new CallerRequest.Cancel(ID));
+      Instant later = NOW.plusSeconds(1);
+      CallerAnswer answer =
+          answers(scheduler.handle(new SchedulerEvent.Ticked(), later, later)).get(0);
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+      assertTrue(answer.retryAfter().isPresent());
+    }
+
+    @Test
+    void ofUnknownJobsAreUnavailableAtOnceIfTheStoreIsNotAvailable() {
+      feed(new SchedulerEvent.StoreAvailabilityChanged(false));
+      CallerAnswer answer = answers(request(new CallerRequest.Cancel(ID))).get(0);
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+    }
+
+    // The entry was dropped, and the job ran although its caller was told 200.
+    @Test
+    void thatOtherMembersStoreBeforeTheirJobsTakeEffect() {
+      feed(
+          new SchedulerEvent.OtherMemberEntriesRead(
+              List.of(new JournalEntry.Cancelled(ID), new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
   }
 
   /**
