Use tickets that arrive before the live list is read a second time

What callers saw: jobs of queues with advice started later after a change of the scheduler, and not at all while the live list could not be read.

Cause: SchedulerTerm learned the lives of workers only from the reads after the term had begun. A ticket that arrived earlier, or for a worker that was not listed, was made for life 0, which no worker has; it could never be used, and nothing was logged.

Evidence: SchedulerTermTests failed before the fix, with a store whose reads of the live list fail after the term has begun: "usesTicketsThatArriveBeforeTheLiveListIsReadAgain:228 expected: not <null>", no start order within 5 s.

Why it works: the lives are taken from the list with which the term begins. A ticket for a worker that is not listed is logged and left out.

Measured: the tests of the package launcher.cell passed.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -153,6 +153,7 @@
       return false;
     }
     nextUnreadOffset.set(entries.get().nextOffset());
+    incarnations = incarnationsOf(liveWorkers.workers());
     context.log().write("term begun", Map.of("term", term, "journal", entries.get().nextOffset()));
     eventQueue.put(
         new SchedulerEvent.Recovered(
@@ -247,12 +248,23 @@
     texts.forEach(
         (name, text) -> {
           WorkerId worker = new WorkerId(name);
-          tickets.put(
-              worker, new Ticket(text, currentIncarnations.getOrDefault(worker, 0L), expiresAt));
+          Optional<Long> incarnation = Optional.ofNullable(currentIncarnations.get(worker));
+          incarnation.ifPresentOrElse(
+              number -> tickets.put(worker, new Ticket(text, number, expiresAt)),
+              () ->
+                  context
+                      .log()
+                      .write("ticket not used: worker not listed", Map.of("worker", worker)));
         });
     return tickets;
   }
 
+  private static Map<WorkerId, Long> incarnationsOf(List<WorkerDescription> workers) {
+    Map<WorkerId, Long> listedIncarnations = new HashMap<>();
+    workers.forEach(worker -> listedIncarnations.put(worker.id(), worker.incarnation()));
+    return listedIncarnations;
+  }
+
   /** Returns the addresses of the members with recent heartbeats, and of this one. */
   Set<String> liveMembers() {
     return liveMembers;
@@ -478,9 +490,7 @@
     do {
       if (liveWorkers.refresh()) {
         List<WorkerDescription> workers = liveWorkers.workers();
-        Map<WorkerId, Long> listedIncarnations = new HashMap<>();
-        workers.forEach(worker -> listedIncarnations.put(worker.id(), worker.incarnation()));
-        incarnations = listedIncarnations;
+        incarnations = incarnationsOf(workers);
         enqueue(new SchedulerEvent.LiveListReceived(workers));
       }
     } while (!ended && Threads.pause(LIVE_LIST_INTERVAL_MILLIS));
--- /dev/null
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
@@ -0,0 +1,222 @@
+package org.hyssopport.launcher.cell;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.hyssopport.engine.job.AdvicePolicy;
+import org.hyssopport.engine.job.JobDefinition;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.job.QueuePolicy;
+import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.scheduler.SchedulerSettings;
+import org.hyssopport.platform.InstanceSettings;
+import org.hyssopport.platform.MetadataStore;
+import org.hyssopport.platform.StoreWrite;
+import org.hyssopport.platform.WorkerGateway;
+import org.hyssopport.policy.Resources;
+import org.hyssopport.protocol.MemberMessage;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests what a term knows before it has read the live list again.
+ *
+ * <p>Guards against zeros that stand for what is not known yet.
+ */
+class SchedulerTermTests {
+
+  private static final String WORKER = "w-1";
+
+  private final ExecutorService storeThreads = Executors.newCachedThreadPool();
+  private final CompletableFuture<SchedulerTerm> begunTerm = new CompletableFuture<>();
+  private final BlockingQueue<String> startOrders = new LinkedBlockingQueue<>();
+  private HttpServer store;
+  private SchedulerTerm term;
+
+  @BeforeEach
+  void begin() throws IOException {
+    store = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    store.createContext(
+        "/api/log-append", exchange -> send(exchange, bytes("{\"offset\":0,\"end\":1}")));
+    store.createContext("/api/log-read", this::answerRead);
+    store.createContext("/api/log-newest", exchange -> send(exchange, newest(exchange)));
+    store.createContext("/api/hold", exchange -> send(exchange, bytes("{\"clockMs\":1000}")));
+    store.createContext("/api/run-start", this::answerStart);
+    store.setExecutor(storeThreads);
+    store.start();
+    InstanceSettings settings =
+        new InstanceSettings(
+            "member",
+            "ourthe",
+            "127.0.0.1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            1,
+            0,
+            1,
+            "127.0.0.1:" + store.getAddress().getPort(),
+            Optional.empty(),
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(10),
+            Duration.ofSeconds(3),
+            Duration.ofMinutes(2),
+            Duration.ofSeconds(6));
+    MemberContext context =
+        new MemberContext(
+            settings,
+            SchedulerSettings.of(
+                settings.longestLease(), settings.gangWindow(), settings.retention()),
+            MetadataStore.at(settings.storeAddress()),
+            WorkerGateway.create(),
+            new MonotonicClock(),
+            DecisionLog.start(
+                "member",
+                new PrintStream(new ByteArrayOutputStream(), true, StandardCharsets.UTF_8)),
+            new CellMetrics(),
+            Threads.bounded("orders", 1, 1),
+            Threads.immediate("looks", 1));
+    term =
+        SchedulerTerm.begin(context, new AdvisingTransport(), (number, answer) -> {}).orElseThrow();
+    begunTerm.complete(term);
+  }
+
+  @AfterEach
+  void end() {
+    term.end("test over");
+    store.stop(0);
+    storeThreads.shutdownNow();
+  }
+
+  /** A transport that answers requests for advice with a ticket and delivers nothing else. */
+  private final class AdvisingTransport implements MemberTransport {
+    @Override
+    public void send(String address, MemberMessage message) {
+      if (message instanceof MemberMessage.AdviceRequest request) {
+        MemberMessage.AdviceAnswer answer =
+            new MemberMessage.AdviceAnswer(
+                request.call(), Optional.of(Map.of(WORKER, "ticket")), 1500);
+        storeThreads.execute(() -> begunTerm.join().onAdvice(answer));
+      }
+    }
+
+    @Override
+    public void reconnect(String address) {}
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static void send(HttpExchange exchange, byte[] body) throws IOException {
+    exchange.getRequestBody().readAllBytes();
+    exchange.sendResponseHeaders(200, body.length);
+    exchange.getResponseBody().write(body);
+    exchange.close();
+  }
+
+  private static boolean concerns(HttpExchange exchange, String topic) {
+    return exchange.getRequestURI().getQuery().contains("topic=" + topic + "&");
+  }
+
+  /** Answers reads; those of the live list fail. */
+  private void answerRead(HttpExchange exchange) throws IOException {
+    if (concerns(exchange, JournalCodec.TOPIC)) {
+      send(exchange, new byte[16]);
+    } else {
+      exchange.sendResponseHeaders(503, -1);
+      exchange.close();
+    }
+  }
+
+  private void answerStart(HttpExchange exchange) throws IOException {
+    startOrders.add(new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8));
+    send(exchange, bytes("{\"clockMs\":1000}"));
+  }
+
+  private byte[] newest(HttpExchange exchange) {
+    String item = concerns(exchange, JournalCodec.TOPIC) ? acceptedJob() : listedWorker();
+    return bytes("{\"items\":[" + item + "],\"end\":1}");
+  }
+
+  private String listedWorker() {
+    String entry =
+        "{\"service\":\"s\",\"addr\":\"127.0.0.1:"
+            + store.getAddress().getPort()
+            + "\",\"zone\":\"ourthe\",\"state\":\"ready\",\"born\":5,"
+            + "\"capacity\":{\"cpu\":10,\"memMb\":10},\"labels\":[\"a\",\"r1\"]}";
+    return record(WORKER, bytes(entry));
+  }
+
+  private static String record(String key, byte[] value) {
+    String text = Base64.getEncoder().encodeToString(value);
+    return "{\"key\":\"" + key + "\",\"value\":\"" + text + "\"}";
+  }
+
+  private static String acceptedJob() {
+    StepDefinition step =
+        new StepDefinition(
+            1,
+            new Resources(1, 1, 0),
+            Duration.ofSeconds(1),
+            List.of(),
+            false,
+            false,
+            false,
+            Optional.empty(),
+            Optional.empty(),
+            0,
+            false,
+            false);
+    JobDefinition job =
+        new JobDefinition(
+            new JobId("0123456789abcdef"),
+            new QueuePolicy(
+                "q",
+                "s",
+                0,
+                1,
+                1,
+                Duration.ZERO,
+                Optional.of(
+                    new AdvicePolicy(
+                        Duration.ofMillis(5), Duration.ofMillis(1), Duration.ofMillis(1500)))),
+            "",
+            List.of(step),
+            0,
+            Instant.EPOCH,
+            Duration.ZERO,
+            Instant.now());
+    StoreWrite write = JournalCodec.encode(List.of(new JournalEntry.Accepted(job))).get(0);
+    return record(write.key(), write.value().orElseThrow());
+  }
+
+  // Tickets were for life 0 of their worker until the live list had been read a second time.
+  @Test
+  void usesTicketsThatArriveBeforeTheLiveListIsReadAgain() throws InterruptedException {
+    String order = startOrders.poll(5, TimeUnit.SECONDS);
+    assertNotNull(order);
+    assertTrue(order.contains("\"ticket\":\"ticket\""));
+  }
+}
