Leave the number of active jobs out of the metrics while it is not known

What an operator saw: hyssopport_cell_active_jobs was 0 on each new scheduler until its first tick, and always on the other members, so that a 0 could mean "none" or "not known".

Cause: SchedulerTerm.activeJobs began as 0, and SchedulerElection answered 0 for a member that does not lead.

The method returned an int then; the test now waits for the first figure and demands that it is 1.

Why it works: the figure is empty until the scheduler has ticked, and on members that do not lead. The new kind of gauge has no value in a scrape while its figure is empty.

Measured: the tests of the package launcher.cell passed.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/MetricRegistry.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/MetricRegistry.java
@@ -8,7 +8,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Optional;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Holds the metrics of a process and writes them in the Prometheus text format.
@@ -54,6 +56,15 @@
         .register(registry);
   }
 
+  /** Registers a gauge that is left out of a scrape while its value is not known. */
+  public void gaugeIfKnown(String name, String help, Supplier<Optional<Integer>> value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> value.get().ifPresent(callback::call))
+        .register(registry);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public byte[] text() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -114,9 +114,9 @@
             requestHandler::inFlight);
     context
         .metrics()
-        .gauge(
+        .gaugeIfKnown(
             "hyssopport_cell_active_jobs",
-            "Jobs that have not ended; 0 unless the member is the scheduler.",
+            "Jobs that have not ended; stated only by the scheduler, once it knows them.",
             election::activeJobs);
     Threads.start("configuration", configurationFollower);
     Threads.start("membership", election::runMembership);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
@@ -6,8 +6,10 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hyssopport.launcher.MetricRegistry;
 
 /** The metrics of one member, and the server that exposes them. */
@@ -42,6 +44,11 @@
     registry.gauge(name, help, value);
   }
 
+  /** Registers a gauge that has a value only while it is known. */
+  void gaugeIfKnown(String name, String help, Supplier<Optional<Integer>> value) {
+    registry.gaugeIfKnown(name, help, value);
+  }
+
   void recordAnswer(String request, String verdict, double seconds) {
     answers.labelValues(request, verdict).inc();
     answerSeconds.observe(seconds);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -226,9 +226,9 @@
         : ElectionPolicy.LastSchedulerContact.NOT_ANSWERED;
   }
 
-  /** Returns the number of active jobs if this member is the scheduler, and 0 otherwise. */
-  int activeJobs() {
-    return activeTerm().map(SchedulerTerm::activeJobs).orElse(0);
+  /** Returns the number of active jobs if this member is the scheduler and knows it. */
+  Optional<Integer> activeJobs() {
+    return activeTerm().flatMap(SchedulerTerm::activeJobs);
   }
 
   /**
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -92,6 +92,9 @@
   private volatile int activeJobs;
   private volatile Instant storeAnsweredAt;
 
+  /** Whether the figures above have been taken from the scheduler. */
+  private volatile boolean ticked;
+
   /** The incarnation of each worker in the live list; a new ticket is for this incarnation. */
   private volatile Map<WorkerId, Long> incarnations = Map.of();
 
@@ -270,8 +273,9 @@
     return liveMembers;
   }
 
-  int activeJobs() {
-    return activeJobs;
+  /** Returns how many jobs have not ended, or empty before the first tick. */
+  Optional<Integer> activeJobs() {
+    return ticked ? Optional.of(activeJobs) : Optional.empty();
   }
 
   Map<String, Integer> pendingByQueue() {
@@ -314,6 +318,7 @@
         scheduler.handle(new SchedulerEvent.Ticked(), context.clock().instant(), Instant.now()));
     pendingByQueue = scheduler.pendingByQueue();
     activeJobs = scheduler.activeJobs();
+    ticked = true;
     Instant silentBefore = context.clock().instant().minus(MEMBER_TIMEOUT);
     memberLastSeen.values().removeIf(silentBefore::isAfter);
     Set<String> currentMembers = new HashSet<>(memberLastSeen.keySet());
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
@@ -1,5 +1,7 @@
 package org.hyssopport.launcher.cell;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -30,6 +32,7 @@
 import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.engine.scheduler.SchedulerSettings;
+import org.hyssopport.launcher.MetricRegistry;
 import org.hyssopport.platform.InstanceSettings;
 import org.hyssopport.platform.MetadataStore;
 import org.hyssopport.platform.StoreWrite;
@@ -39,9 +42,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /**
- * Tests what a term knows before it has read the live list again.
+ * Tests what a term knows and reports just after it has begun.
  *
  * <p>Guards against zeros that stand for what is not known yet.
  */
@@ -212,6 +216,28 @@
     return record(write.key(), write.value().orElseThrow());
   }
 
+  // The gauge of active jobs fell to 0 with each new term, whatever the journal held.
+  @Test
+  @Timeout(10)
+  void doesNotReportZeroActiveJobsBeforeItKnowsThem() {
+    Optional<Integer> reported = term.activeJobs();
+    while (reported.isEmpty()) {
+      assertTrue(Threads.pause(1));
+      reported = term.activeJobs();
+    }
+    assertEquals(Optional.of(1), reported);
+  }
+
+  @Test
+  void leavesGaugesWithoutValueOutOfTheMetrics() {
+    MetricRegistry registry = MetricRegistry.create();
+    registry.gaugeIfKnown("known_jobs", "Jobs.", () -> Optional.of(3));
+    registry.gaugeIfKnown("unknown_jobs", "Jobs.", Optional::empty);
+    String text = new String(registry.text(), StandardCharsets.UTF_8);
+    assertTrue(text.contains("known_jobs 3.0"));
+    assertFalse(text.contains("unknown_jobs "));
+  }
+
   // Tickets were for life 0 of their worker until the live list had been read a second time.
   @Test
   void usesTicketsThatArriveBeforeTheLiveListIsReadAgain() throws InterruptedException {
