--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -91,9 +91,11 @@
   private volatile boolean ended;
   private volatile boolean recovered;
   private volatile Optional<PendingJobs> pendingJobs = Optional.empty();
-  private volatile int activeJobs;
+  private volatile Optional<Integer> activeJobs = Optional.empty();
   private volatile Instant storeAnsweredAt;
 
+  /** Whether the figures above have been taken from the scheduler. */
+
   /** The incarnation of each worker in the live list; a new ticket is for this incarnation. */
   private volatile Map<WorkerId, Long> incarnations = Map.of();
 
@@ -160,6 +162,7 @@
       return false;
     }
     nextUnreadOffset.set(entries.get().nextOffset());
+    incarnations = incarnationsOf(liveWorkers.workers());
     context.log().write("term begun", Map.of("term", term, "journal", entries.get().nextOffset()));
     eventQueue.put(
         new SchedulerEvent.Recovered(
@@ -262,12 +265,23 @@
     texts.forEach(
         (name, text) -> {
           WorkerId worker = new WorkerId(name);
-          tickets.put(
-              worker, new Ticket(text, currentIncarnations.getOrDefault(worker, 0L), expiresAt));
+          Optional<Long> incarnation = Optional.ofNullable(currentIncarnations.get(worker));
+          incarnation.ifPresentOrElse(
+              number -> tickets.put(worker, new Ticket(text, number, expiresAt)),
+              () ->
+                  context
+                      .log()
+                      .write("ticket not used: worker not listed", Map.of("worker", worker)));
         });
     return tickets;
   }
 
+  private static Map<WorkerId, Long> incarnationsOf(List<WorkerDescription> workers) {
+    Map<WorkerId, Long> listedIncarnations = new HashMap<>();
+    workers.forEach(worker -> listedIncarnations.put(worker.id(), worker.incarnation()));
+    return listedIncarnations;
+  }
+
   /**
    * Returns the addresses of the members with recent heartbeats, and of this one. Until all members
    * have had the time to send a heartbeat, those that the last scheduler listed are included.
@@ -282,7 +296,8 @@
     return members;
   }
 
-  int activeJobs() {
+  /** Returns how many jobs have not ended, or empty before the first tick. */
+  Optional<Integer> activeJobs() {
     return activeJobs;
   }
 
@@ -334,7 +349,7 @@
                     scheduler
                         .journalReadAt()
                         .map(readAt -> new PendingJobs(term, byQueue, readAt)));
-    activeJobs = scheduler.activeJobs();
+    activeJobs = Optional.of(scheduler.activeJobs());
     Instant silentBefore = context.clock().instant().minus(MEMBER_TIMEOUT);
     memberLastSeen.values().removeIf(silentBefore::isAfter);
     Set<String> currentMembers = new HashSet<>(memberLastSeen.keySet());
@@ -512,9 +527,7 @@
     do {
       if (liveWorkers.refresh()) {
         List<WorkerDescription> workers = liveWorkers.workers();
-        Map<WorkerId, Long> listedIncarnations = new HashMap<>();
-        workers.forEach(worker -> listedIncarnations.put(worker.id(), worker.incarnation()));
-        incarnations = listedIncarnations;
+        incarnations = incarnationsOf(workers);
         enqueue(new SchedulerEvent.LiveListReceived(workers));
       }
     } while (!ended && Threads.pause(LIVE_LIST_INTERVAL_MILLIS));
