Keep a job that another member has stored when the scheduler's own append of it is refused

What callers would have seen: 200 from the member that stored the job, then 410 for it and a count of waiting jobs without it until the next term.

Cause: a member that loses sight of the scheduler stores the job that it had forwarded. The scheduler ignored the entry, as it knew the job, and removed the job when its own append was refused.

Evidence, before the fix: CellSchedulerEventTests.SubmissionsThatAnotherMemberStoresMeanwhile: 'expected: <[ACCEPTED]> but was: <[]>' (two tests). Why it works: the entry proves that the job is stored, so its acceptance is confirmed at once and outlasts a refused batch.

Measured: CellSchedulerEventTests, no failures.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -413,6 +413,10 @@
   }
 
   private void withdrawAcceptance(Job job) {
+    if (job.acceptanceStored()) {
+      // Another member has stored the job.
+      return;
+    }
     jobs.remove(job.id());
     journal.withdraw(job);
     replyToAll(job, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
@@ -528,9 +532,12 @@
 
   private void applyEntryFromOtherMember(JournalEntry entry) {
     if (entry instanceof JournalEntry.Accepted accepted) {
-      if (jobs.find(accepted.job()).isEmpty()) {
+      Optional<Job> found = jobs.find(accepted.job());
+      if (found.isEmpty()) {
         jobs.add(toStoredJob(accepted.definition()));
         context.logDecision("accepted elsewhere", accepted.job(), Map.of());
+      } else if (!found.get().acceptanceStored()) {
+        confirmAcceptance(found.get());
       }
       if (cancelledUnknownJobs.remove(entry.job())) {
         cancelIfKnown(entry.job());
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -8,6 +8,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.hyssopport.engine.job.JobDefinition;
@@ -148,6 +149,35 @@
     }
   }
 
+  /** A member that could not reach the scheduler in time stores a job that it had forwarded. */
+  @Nested
+  class SubmissionsThatAnotherMemberStoresMeanwhile {
+
+    @BeforeEach
+    void readTheEntryWhileTheBatchIsInFlight() {
+      request(new CallerRequest.Submit(job()));
+      List<SchedulerEffect> effects =
+          feed(
+              new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      assertEquals(
+          List.of(Verdict.ACCEPTED), answers(effects).stream().map(CallerAnswer::verdict).toList());
+    }
+
+    // A refused batch removed the job, and callers were told 410 until the next term.
+    @Test
+    void remainKnownWhenTheBatchOfTheSchedulerIsRefused() {
+      assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalBatchRefused())));
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.QUEUED), shown.state());
+      assertEquals(Optional.of(Map.of("q", 1)), scheduler.pendingByQueue());
+    }
+
+    @Test
+    void areConfirmedOnlyOnceWhenTheBatchIsStoredToo() {
+      assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalBatchStored())));
+    }
+  }
+
   /** Guards against denying that a job exists which another member has stored. */
   @Nested
   class UnknownJobs {
