Remember cancellations of jobs whose append is refused, or that a term finds before the job

What callers would have seen: a job runs although its cancellation was answered 410 or 200.

Cause: three places forgot the cancellation of a job that was not stored yet: a batch that was refused (the caller was told 410 at once, although another member may store the job), an entry read while the scheduler's own append was in flight, and the recovery of a term.

Evidence, before the fix, CellSchedulerEventTests.Cancellations: ofJobsThatTheStoreRefusesWaitForTheNextReadOfTheJournal 'expected: <[UNAVAILABLE]> but was: <[UNAVAILABLE, UNKNOWN_JOB]>', thatOtherMembersStoreForJobsThatTheStoreRefusesTakeEffectLater and thatAreStoredBeforeTermsBeginTakeEffectForJobsThatAreStoredLater 'expected: <Optional[CANCELLED]> but was: <Optional[QUEUED]>'.

Why it works: a cancellation of a job that is not stored is remembered until its entry is read, wherever it comes from.

Measured: CellSchedulerEventTests 30 run, no failures.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -243,7 +243,7 @@
     updateWorkers(recovery.workers());
     jobs.active().forEach(this::inheritRuns);
     recovered = true;
-    cancelled.forEach(this::cancelIfKnown);
+    cancelled.forEach(this::cancelOrRemember);
     context.logDecision(
         "recovered",
         "",
@@ -420,7 +420,7 @@
     jobs.remove(job.id());
     journal.withdraw(job);
     replyToAll(job, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
-    removeCancelling(job).forEach(caller -> reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB)));
+    removeCancelling(job).forEach(caller -> cancelAfterJournalRead(caller, job.id()));
     context.logDecision("rejected", job.id(), Map.of("reason", "journal store refused the record"));
   }
 
@@ -496,6 +496,17 @@
     cancelledUnknownJobs.add(id);
   }
 
+  /**
+   * Cancels a job, and remembers the cancellation unless the job is stored: its append may still be
+   * on its way.
+   */
+  private void cancelOrRemember(JobId id) {
+    if (jobs.find(id).filter(Job::acceptanceStored).isEmpty()) {
+      rememberCancellation(id);
+    }
+    cancelIfKnown(id);
+  }
+
   private void cancelIfKnown(JobId id) {
     jobs.find(id)
         .filter(job -> !job.isEnded())
@@ -543,11 +554,7 @@
         cancelIfKnown(entry.job());
       }
     } else if (entry instanceof JournalEntry.Cancelled) {
-      if (jobs.find(entry.job()).isEmpty()) {
-        // The append of the job may still be on its way.
-        rememberCancellation(entry.job());
-      }
-      cancelIfKnown(entry.job());
+      cancelOrRemember(entry.job());
     }
   }
 
