Start no task while an orphaned run of it is still being stopped

What was seen: two runs of one task on workers that are up.

Cause: a scheduler that finds a run on a worker to which it isn't assigned stops it, which takes up to stopMs. Meanwhile the task counted as waiting if its assigned run was missing from a report, and was started again beside the orphaned run. The same holds for an assignment that is being stored when the orphaned run is found, and for the runs that are stopped on a new incarnation because a late start may have reached it.

Why it works: a task knows its orphaned runs and is not waiting until each is over: its end was listed, a report proves it gone, or the lease of its worker has expired. An assignment that has not been ordered yet is withdrawn. PROTOCOL.md, "Running tasks": a run that is being stopped runs until its end is listed.

The event tests now advance their clock with each event. With a clock that stands still no second placement pass is due, so a test could not see a start that follows from a later event.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Task.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Task.java
@@ -1,6 +1,8 @@
 package org.hyssopport.engine.job;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.hyssopport.engine.platform.WorkerId;
 
 /**
@@ -17,6 +19,7 @@
   private String checkpoint = "";
   private Optional<WorkerId> worker = Optional.empty();
   private long incarnation;
+  private final Set<Integer> orphanedRuns = new HashSet<>();
 
   private Task(TaskId id) {
     this.id = id;
@@ -61,9 +64,19 @@
     return incarnation;
   }
 
-  /** Returns whether it is neither done nor assigned to a worker. */
+  /** Returns whether it is neither done nor assigned to a worker, and no orphaned run is left. */
   public boolean isWaiting() {
-    return !done && worker.isEmpty();
+    return !done && worker.isEmpty() && orphanedRuns.isEmpty();
+  }
+
+  /** Records a run that may run on a worker that the task is not assigned to, until it is over. */
+  public void addOrphanedRun(int runNumber) {
+    orphanedRuns.add(runNumber);
+  }
+
+  /** Records that a run is over; has no effect if the run was not orphaned. */
+  public void removeOrphanedRun(int runNumber) {
+    orphanedRuns.remove(runNumber);
   }
 
   /**
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -293,6 +293,7 @@
     }
     Step step = found.get();
     Task task = step.task(runId.task().index());
+    task.removeOrphanedRun(runId.number());
     boolean current =
         task.lastRunNumber() == runId.number()
             && task.worker().filter(worker.id()::equals).isPresent();
@@ -383,6 +384,7 @@
                       TrackedRun.ofUnknownStep(
                           runId, worker.description().capacity(), context.now()));
       worker.add(orphanedRun);
+      step.ifPresent(knownStep -> holdTask(knownStep, runId));
       stop(worker, orphanedRun, "run is not assigned to this worker");
       return;
     }
@@ -392,6 +394,27 @@
         knownStep -> applyProgress(worker, trackedRun, knownStep, runningRun.checkpoint()));
   }
 
+  /**
+   * Keeps a task from being started while an orphaned run of it may run, and withdraws an
+   * assignment that is still being stored.
+   */
+  private void holdTask(Step step, RunId orphanedRun) {
+    Task task = step.task(orphanedRun.task().index());
+    task.addOrphanedRun(orphanedRun.number());
+    RunId assignedRun = new RunId(task.id(), task.lastRunNumber());
+    task.worker()
+        .flatMap(workers::find)
+        .ifPresent(
+            worker ->
+                worker
+                    .run(assignedRun)
+                    .filter(trackedRun -> trackedRun.phase() == RunPhase.STORING)
+                    .ifPresent(
+                        trackedRun ->
+                            releaseRun(
+                                worker, trackedRun, "an earlier run of the task may be running")));
+  }
+
   private void applyProgress(
       TrackedWorker worker, TrackedRun trackedRun, Step step, String checkpoint) {
     Task task = step.task(trackedRun.id().task().index());
@@ -440,6 +463,7 @@
   private void stopPossibleRun(TrackedWorker worker, RunId runId, Step step) {
     TrackedRun trackedRun = TrackedRun.of(runId, step, RunPhase.STOPPING, context.now());
     worker.add(trackedRun);
+    holdTask(step, runId);
     sendStop(worker, trackedRun);
   }
 
@@ -463,6 +487,7 @@
     }
     Step step = trackedRun.step().get();
     Task task = step.task(trackedRun.id().task().index());
+    task.removeOrphanedRun(trackedRun.id().number());
     if (task.lastRunNumber() != trackedRun.id().number() || task.worker().isEmpty()) {
       return;
     }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -12,12 +12,14 @@
 import java.util.Set;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobProgress;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.engine.job.StepId;
 import org.hyssopport.engine.job.TaskId;
+import org.hyssopport.engine.job.TaskProgress;
 import org.hyssopport.engine.platform.FailureDomain;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
@@ -26,12 +28,14 @@
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.hyssopport.engine.worker.WorkerRunReport;
 import org.hyssopport.engine.worker.WorkerRunReport.EndedRun;
+import org.hyssopport.engine.worker.WorkerRunReport.RunningRun;
 import org.hyssopport.policy.Resources;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests of {@link CellScheduler}: which answers and orders follow from each event.
@@ -50,6 +54,8 @@
           SchedulerSettings.of(
               Duration.ofSeconds(10), Duration.ofSeconds(3), Duration.ofMinutes(2)));
 
+  private Instant now = NOW;
+
   @BeforeEach
   void recover() {
     feed(new SchedulerEvent.Recovered(List.of(), List.of()));
@@ -94,9 +100,11 @@
         false);
   }
 
+  /** Handles an event once the next placement pass may run, so that each event can lead to one. */
   private List<SchedulerEffect> feed(SchedulerEvent event) {
-    List<SchedulerEffect> effects = new ArrayList<>(scheduler.handle(event, NOW, NOW));
-    effects.addAll(scheduler.decide(NOW, NOW));
+    now = now.plusMillis(5);
+    List<SchedulerEffect> effects = new ArrayList<>(scheduler.handle(event, now, now));
+    effects.addAll(scheduler.decide(now, now));
     return effects;
   }
 
@@ -262,4 +270,61 @@
       assertEquals(Optional.of(JobState.COMPLETE), shown.state());
     }
   }
+
+  /** Guards against a second run of a task while an earlier one is still being stopped. */
+  @Nested
+  class OrphanedRuns {
+
+    private static final WorkerId ASSIGNED = new WorkerId("assigned");
+    private static final WorkerId OTHER = new WorkerId("other");
+    private static final TaskId TASK = new TaskId(new StepId(ID, 0, 0), 0);
+    private static final RunId ORPHANED_RUN = new RunId(TASK, 1);
+
+    @BeforeEach
+    void inheritSecondRun() {
+      TaskProgress progress = new TaskProgress(0, 0, 0, false, 2, 0, Optional.of(ASSIGNED), 1, "");
+      feed(
+          new SchedulerEvent.Recovered(
+              List.of(
+                  new JournalEntry.Accepted(job()),
+                  new JournalEntry.Progressed(
+                      new JobProgress(ID, JobState.RUNNING, List.of(progress)))),
+              List.of(worker(ASSIGNED, 1), worker(OTHER, 1))));
+    }
+
+    private List<SchedulerEffect> report(WorkerId id, List<RunId> running, List<EndedRun> ended) {
+      List<RunningRun> rows = running.stream().map(run -> new RunningRun(run, "")).toList();
+      WorkerRunReport report = new WorkerRunReport(1, 1000, rows, ended);
+      return feed(new SchedulerEvent.WorkerPolled(id, 1, now, 0, new PollResult.Reported(report)));
+    }
+
+    private List<RunId> startsOnceStored() {
+      List<SchedulerEffect> effects = new ArrayList<>(feed(new SchedulerEvent.Ticked()));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
+      return effects.stream()
+          .filter(SchedulerEffect.Start.class::isInstance)
+          .map(SchedulerEffect.Start.class::cast)
+          .map(SchedulerEffect.Start::run)
+          .toList();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"assigned", "other"})
+    void delayTheNextRunUntilTheyHaveEnded(String workerOfOrphan) {
+      WorkerId reporting = new WorkerId(workerOfOrphan);
+      report(reporting, List.of(ORPHANED_RUN), List.of());
+      report(reporting.equals(ASSIGNED) ? OTHER : ASSIGNED, List.of(), List.of());
+      assertEquals(List.of(), startsOnceStored());
+      report(reporting, List.of(), List.of(new EndedRun(1, ORPHANED_RUN, RunEnd.STOPPED, "")));
+      assertEquals(List.of(new RunId(TASK, 3)), startsOnceStored());
+    }
+
+    @Test
+    void withdrawAnAssignmentThatIsBeingStored() {
+      report(ASSIGNED, List.of(), List.of());
+      report(OTHER, List.of(ORPHANED_RUN), List.of());
+      assertEquals(List.of(), startsOnceStored());
+    }
+  }
 }
