Resend a start without a ticket only after a report of the same incarnation

What was seen: two runs of one task on workers that are up.

Cause: a start that got no answer was resent after 0.7 s to whatever runs at the worker's address. A worker that has started again under its id since then knows neither the run nor the fence of the newer term, so it also begins what a deposed scheduler resends.

Why it works: the worker is polled first. A newer incarnation names itself in its report, and the run is stopped there; a worker that has answered a newer term refuses the poll, which ends the older term; a run that is listed needs no second order. If no report comes in time, the run is stopped. A poll without a lease to wait for isn't held up: while such a start is unanswered, a poll waits 250 ms at most, and none once the report is needed.

A start with a ticket is resent at once, as before: "The ticket is valid for all tasks of the step during this life of the worker" (PROTOCOL.md, "Running tasks"), so a later incarnation refuses it.

The expected cost, not measured: on queues without advice a lost start is resent up to 0.25 s later.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -179,6 +179,7 @@
     }
     context.requestPlacement();
     runManager.resendStops();
+    runManager.stopUnreportedStarts();
     Instant forgetBefore = context.now().minus(context.settings().retention());
     List<JobId> idsToForget =
         jobs.all().stream()
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -43,6 +43,9 @@
   /** Runs whose stop was ordered and not confirmed, with the worker that got the order. */
   private final Map<TrackedRun, TrackedWorker> unconfirmedStops = new LinkedHashMap<>();
 
+  /** Runs whose start order is resent after the next report of the worker, with that worker. */
+  private final Map<TrackedRun, TrackedWorker> awaitingReport = new LinkedHashMap<>();
+
   private final UnansweredStarts unansweredStarts = new UnansweredStarts();
 
   RunManager(
@@ -155,20 +158,64 @@
     }
   }
 
+  /**
+   * Resends a start order that may not have arrived, or stops the run if it is too late for that.
+   *
+   * <p>The worker may have started again since the first order and would then run whatever arrives.
+   * A ticket is valid during one incarnation only, so an order that carries one can be resent at
+   * once; any other is resent only after a newer report of the same incarnation.
+   */
   private void resendOrStop(TrackedWorker worker, TrackedRun trackedRun) {
+    if (trackedRun.phase() != RunPhase.ORDERED) {
+      return;
+    }
+    if (!mayResend(trackedRun)) {
+      stop(worker, trackedRun, "start not answered; it is not resent");
+    } else if (trackedRun.ticket().isPresent()) {
+      sendStart(worker, trackedRun);
+    } else {
+      trackedRun.recordReportNeeded(context.now());
+      awaitingReport.put(trackedRun, worker);
+      worker.schedulePollBy(context.now());
+    }
+  }
+
+  private boolean mayResend(TrackedRun trackedRun) {
     // The second half of the gang window is left for stopping the other tasks of the gang, or for
     // starting the gang again.
     Duration resendWithin = context.settings().gangWindow().dividedBy(2);
-    boolean inTime = context.now().isBefore(trackedRun.placedAt().plus(resendWithin));
-    if (trackedRun.phase() == RunPhase.ORDERED
-        && trackedRun.startsSent() < MAXIMUM_STARTS_SENT
-        && inTime) {
-      sendStart(worker, trackedRun);
-    } else if (trackedRun.phase() == RunPhase.ORDERED) {
-      stop(worker, trackedRun, "start not answered; it is not resent");
+    return trackedRun.startsSent() < MAXIMUM_STARTS_SENT
+        && context.now().isBefore(trackedRun.placedAt().plus(resendWithin));
+  }
+
+  /** Resends the start orders that a report of the worker does not show to have been received. */
+  private void resendUnlistedStarts(TrackedWorker worker, Instant pollSentAt) {
+    for (TrackedRun trackedRun : List.copyOf(worker.runs())) {
+      boolean reported =
+          trackedRun.reportNeededSince().filter(at -> !pollSentAt.isBefore(at)).isPresent();
+      if (reported) {
+        sendStart(worker, trackedRun);
+      }
     }
   }
 
+  /** Stops the runs whose worker has not reported in time for another start order. */
+  void stopUnreportedStarts() {
+    awaitingReport.entrySet().removeIf(entry -> !isReportNeeded(entry.getKey(), entry.getValue()));
+    List.copyOf(awaitingReport.entrySet())
+        .forEach(
+            entry -> {
+              if (!mayResend(entry.getKey())) {
+                stop(entry.getValue(), entry.getKey(), "start not answered, nor reported in time");
+              }
+            });
+  }
+
+  private static boolean isReportNeeded(TrackedRun trackedRun, TrackedWorker worker) {
+    boolean current = worker.run(trackedRun.id()).filter(trackedRun::equals).isPresent();
+    return current && trackedRun.reportNeededSince().isPresent();
+  }
+
   /**
    * Orders the worker to stop a run, unless that was ordered before. A run whose start was not
    * ordered yet is released at once.
@@ -262,6 +309,7 @@
         releaseRun(worker, trackedRun, "run is missing from the worker's report");
       }
     }
+    resendUnlistedStarts(worker, pollSentAt);
   }
 
   private void applyEnds(TrackedWorker worker, List<WorkerRunReport.EndedRun> ended) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerPoller.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerPoller.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hyssopport.engine.worker.RunPhase;
+import org.hyssopport.engine.worker.TrackedRun;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerRunReport;
 
@@ -14,6 +16,9 @@
   /** Half of the 2 s that the platform allows: a lost answer hides run ends until the next poll. */
   private static final int MAXIMUM_WAIT_MILLIS = 1000;
 
+  /** Applies while a start without a ticket is unanswered: it is resent only after a report. */
+  private static final int WAIT_MILLIS_FOR_START = 250;
+
   /** Polls at this interval keep the clock of a worker without runs known to within 0.1 s. */
   private static final Duration IDLE_INTERVAL = Duration.ofSeconds(5);
 
@@ -65,7 +70,20 @@
             worker.description(),
             lease,
             worker.storedEndNumber(),
-            mayWait ? MAXIMUM_WAIT_MILLIS : 0));
+            mayWait ? longestWaitMillis(worker) : 0));
+  }
+
+  private static int longestWaitMillis(TrackedWorker worker) {
+    int waitMillis = MAXIMUM_WAIT_MILLIS;
+    for (TrackedRun trackedRun : worker.runs()) {
+      if (trackedRun.reportNeededSince().isPresent()) {
+        return 0;
+      }
+      if (trackedRun.phase() == RunPhase.ORDERED && trackedRun.ticket().isEmpty()) {
+        waitMillis = WAIT_MILLIS_FOR_START;
+      }
+    }
+    return waitMillis;
   }
 
   /** Handles the result of a poll. */
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedRun.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedRun.java
@@ -22,6 +22,7 @@
   private Optional<Instant> stopConfirmedAt = Optional.empty();
   private int startsSent;
   private Instant lastOrderAt = Instant.MIN;
+  private Optional<Instant> reportNeededSince = Optional.empty();
 
   private TrackedRun(
       RunId id, Optional<Step> step, Resources demand, RunPhase phase, Instant placedAt) {
@@ -105,9 +106,23 @@
     return lastOrderAt;
   }
 
+  /**
+   * Returns when a start order got no answer, if the worker has to report before the next one is
+   * sent.
+   */
+  public Optional<Instant> reportNeededSince() {
+    return reportNeededSince;
+  }
+
+  /** Records that the worker has to report before the next start order is sent. */
+  public void recordReportNeeded(Instant now) {
+    reportNeededSince = Optional.of(now);
+  }
+
   /** Records that a start order is being sent. */
   public void recordStartOrdered(Instant now) {
     phase = RunPhase.ORDERED;
+    reportNeededSince = Optional.empty();
     startsSent++;
     lastOrderAt = now;
   }
@@ -115,11 +130,13 @@
   /** Records that a stop order is being sent. */
   public void recordStopOrdered(Instant now) {
     phase = RunPhase.STOPPING;
+    reportNeededSince = Optional.empty();
     lastOrderAt = now;
   }
 
   /** Records that the worker is running it. */
   public void recordStartConfirmed(Instant now) {
+    reportNeededSince = Optional.empty();
     if (phase != RunPhase.STOPPING) {
       phase = RunPhase.RUNNING;
     }
