--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -213,6 +213,7 @@
     giveUpCancellations();
     context.requestPlacement();
     runManager.resendStops();
+    runManager.stopUnreportedStarts();
     Instant forgetBefore = context.now().minus(context.settings().retention());
     List<JobId> idsToForget =
         jobs.all().stream()
