--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
@@ -0,0 +1,266 @@
+package org.hyssopport.engine.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.job.JobState;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests which answers callers get from {@link CellScheduler}.
+ *
+ * <p>Guards against answers that differ from what the journal holds.
+ */
+class CellSchedulerCallerTests extends AbstractCellSchedulerTests {
+
+  /** Guards against confirming a job that is not stored yet or that the store has refused. */
+  @Nested
+  class Submissions {
+
+    @Test
+    void areConfirmedOnlyOnceTheyAreStored() {
+      assertEquals(List.of(), answers(request(new CallerRequest.Submit(job()))));
+      List<CallerAnswer> answers = answers(feed(new SchedulerEvent.JournalBatchStored()));
+      assertEquals(Verdict.ACCEPTED, answers.get(0).verdict());
+    }
+
+    @Test
+    void areRefusedWithRetryTimeWhenTheStoreRefusesThem() {
+      request(new CallerRequest.Submit(job()));
+      CallerAnswer answer = answers(feed(new SchedulerEvent.JournalBatchRefused())).get(0);
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+      assertTrue(answer.retryAfter().isPresent());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Verdict.UNKNOWN_JOB, shown.verdict());
+    }
+
+    @Test
+    void thatAreRepeatedWhileTheBatchIsInFlightAreRefusedWithIt() {
+      request(new CallerRequest.Submit(job()));
+      List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Submit(job())));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchRefused()));
+      effects.addAll(feed(new SchedulerEvent.Ticked()));
+      assertEquals(
+          List.of(Verdict.UNAVAILABLE, Verdict.UNAVAILABLE),
+          answers(effects).stream().map(CallerAnswer::verdict).toList());
+    }
+  }
+
+  /** A member that could not reach the scheduler in time stores a job that it had forwarded. */
+  @Nested
+  class SubmissionsThatAnotherMemberStoresMeanwhile {
+
+    @BeforeEach
+    void readTheEntryWhileTheBatchIsInFlight() {
+      request(new CallerRequest.Submit(job()));
+      List<SchedulerEffect> effects =
+          feed(
+              new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      assertEquals(
+          List.of(Verdict.ACCEPTED), answers(effects).stream().map(CallerAnswer::verdict).toList());
+    }
+
+    // A refused batch removed the job, and callers were told 410 until the next term.
+    @Test
+    void remainKnownWhenTheBatchOfTheSchedulerIsRefused() {
+      assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalBatchRefused())));
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.QUEUED), shown.state());
+      assertEquals(Optional.of(Map.of("q", 1)), scheduler.pendingByQueue());
+    }
+
+    @Test
+    void areConfirmedOnlyOnceWhenTheBatchIsStoredToo() {
+      assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalBatchStored())));
+    }
+  }
+
+  /** Guards against denying that a job exists which another member has stored. */
+  @Nested
+  class UnknownJobs {
+
+    private CallerAnswer showAfter(Duration sinceJournalRead) {
+      SchedulerEvent show =
+          new SchedulerEvent.CallerRequestReceived(CALLER, new CallerRequest.Show(ID));
+      Instant now = NOW.plus(sinceJournalRead);
+      return answers(scheduler.handle(show, now, now)).get(0);
+    }
+
+    @Test
+    void doNotExistIfTheJournalWasReadRecently() {
+      assertEquals(Verdict.UNKNOWN_JOB, showAfter(Duration.ofSeconds(1)).verdict());
+    }
+
+    @Test
+    void areUnavailableIfTheJournalWasNotReadRecently() {
+      CallerAnswer answer = showAfter(Duration.ofSeconds(2));
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+      assertTrue(answer.retryAfter().isPresent());
+    }
+
+    @Test
+    void countFromTheLatestReadThatReachedTheEndOfTheJournal() {
+      assertEquals(Optional.of(NOW), scheduler.journalReadAt());
+      feed(new SchedulerEvent.JournalRead(NOW.plusMillis(500)));
+      feed(new SchedulerEvent.JournalRead(NOW.plusMillis(250)));
+      assertEquals(Optional.of(NOW.plusMillis(500)), scheduler.journalReadAt());
+    }
+
+    @Test
+    void areUnavailableIfOnlyTheAnswerToTheReadIsRecent() {
+      Instant later = NOW.plusSeconds(3);
+      scheduler.handle(new SchedulerEvent.JournalRead(NOW.plusMillis(200)), later, later);
+      assertEquals(Verdict.UNAVAILABLE, showAfter(Duration.ofSeconds(3)).verdict());
+    }
+  }
+
+  /** Guards against losing or wrongly confirming cancellations of jobs that are not stored yet. */
+  @Nested
+  class Cancellations {
+
+    @Test
+    void ofJobsThatTheStoreThenRefusesAreNeverConfirmed() {
+      request(new CallerRequest.Submit(job()));
+      List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Cancel(ID)));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchRefused()));
+      effects.addAll(feed(new SchedulerEvent.Ticked()));
+      assertFalse(
+          answers(effects).stream().anyMatch(answer -> answer.verdict() == Verdict.CANCELLED));
+    }
+
+    @Test
+    void ofJobsBeingStoredTakeEffectOnceTheyAreStored() {
+      request(new CallerRequest.Submit(job()));
+      request(new CallerRequest.Cancel(ID));
+      feed(new SchedulerEvent.JournalBatchStored());
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
+    // Answered with 410 at once, before the store had confirmed or refused the job.
+    @Test
+    void ofJobsBeingStoredAreAnsweredOnceTheyAreStored() {
+      request(new CallerRequest.Submit(job()));
+      assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
+      List<SchedulerEffect> effects =
+          new ArrayList<>(feed(new SchedulerEvent.JournalBatchStored()));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
+      assertEquals(
+          List.of(Verdict.ACCEPTED, Verdict.CANCELLED),
+          answers(effects).stream().map(CallerAnswer::verdict).toList());
+    }
+
+    // Answered with 410 at the refusal and then forgotten, although another member may have stored
+    // the job, which then ran.
+    @Test
+    void ofJobsThatTheStoreRefusesWaitForTheNextReadOfTheJournal() {
+      request(new CallerRequest.Submit(job()));
+      request(new CallerRequest.Cancel(ID));
+      List<SchedulerEffect> effects =
+          new ArrayList<>(feed(new SchedulerEvent.JournalBatchRefused()));
+      assertEquals(
+          List.of(Verdict.UNAVAILABLE),
+          answers(effects).stream().map(CallerAnswer::verdict).toList());
+      assertEquals(
+          List.of(Verdict.UNKNOWN_JOB),
+          answers(feed(new SchedulerEvent.JournalRead(now))).stream()
+              .map(CallerAnswer::verdict)
+              .toList());
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
+    // Forgotten with the refused job, so that the job ran once its entry was read.
+    @Test
+    void thatOtherMembersStoreForJobsThatTheStoreRefusesTakeEffectLater() {
+      request(new CallerRequest.Submit(job()));
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Cancelled(ID))));
+      feed(new SchedulerEvent.JournalBatchRefused());
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
+    // Dropped at the beginning of a term, so that the job ran once its entry was read.
+    @Test
+    void thatAreStoredBeforeTermsBeginTakeEffectForJobsThatAreStoredLater() {
+      scheduler = CellScheduler.create(SETTINGS);
+      feed(new SchedulerEvent.Recovered(List.of(new JournalEntry.Cancelled(ID)), List.of()));
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
+    @Test
+    void takeEffectForJobsOfOtherMembersThatWereNotReadYet() {
+      assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalRead(now));
+      List<CallerAnswer> answers = answers(feed(new SchedulerEvent.JournalBatchStored()));
+      assertEquals(Verdict.CANCELLED, answers.get(0).verdict());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
+    @Test
+    void takeEffectForJobsThatAreStoredAfterTheyWereFoundToBeUnknown() {
+      List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Cancel(ID)));
+      effects.addAll(feed(new SchedulerEvent.JournalRead(now)));
+      assertEquals(Verdict.UNKNOWN_JOB, answers(effects).get(0).verdict());
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
+    @Test
+    void ofUnknownJobsAreNotAnsweredByReadsThatWereSentBefore() {
+      request(new CallerRequest.Cancel(ID));
+      assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalRead(now.minusMillis(1)))));
+    }
+
+    @Test
+    void ofUnknownJobsAreUnavailableIfTheJournalIsNotRead() {
+      request(new CallerRequest.Cancel(ID));
+      Instant later = now.plusSeconds(1);
+      CallerAnswer answer =
+          answers(scheduler.handle(new SchedulerEvent.Ticked(), later, later)).get(0);
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+      assertTrue(answer.retryAfter().isPresent());
+    }
+
+    @Test
+    void ofUnknownJobsAreUnavailableAtOnceIfTheStoreIsNotAvailable() {
+      feed(new SchedulerEvent.StoreAvailabilityChanged(false));
+      CallerAnswer answer = answers(request(new CallerRequest.Cancel(ID))).get(0);
+      assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+    }
+
+    // The entry was dropped, and the job ran although its caller was told 200.
+    @Test
+    void thatOtherMembersStoreBeforeTheirJobsTakeEffect() {
+      feed(
+          new SchedulerEvent.OtherMemberEntriesRead(
+              List.of(new JournalEntry.Cancelled(ID), new JournalEntry.Accepted(job()))));
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+  }
+}
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -94,8 +94,6 @@
   private volatile Optional<Integer> activeJobs = Optional.empty();
   private volatile Instant storeAnsweredAt;
 
-  /** Whether the figures above have been taken from the scheduler. */
-
   /** The incarnation of each worker in the live list; a new ticket is for this incarnation. */
   private volatile Map<WorkerId, Long> incarnations = Map.of();
 
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -102,7 +103,8 @@
             Threads.bounded("orders", 1, 1),
             Threads.immediate("looks", 1));
     term =
-        SchedulerTerm.begin(context, new AdvisingTransport(), (number, answer) -> {}).orElseThrow();
+        SchedulerTerm.begin(context, Set.of(), new AdvisingTransport(), (number, answer) -> {})
+            .orElseThrow();
     begunTerm.complete(term);
   }
 
@@ -120,7 +122,7 @@
       if (message instanceof MemberMessage.AdviceRequest request) {
         MemberMessage.AdviceAnswer answer =
             new MemberMessage.AdviceAnswer(
-                request.call(), Optional.of(Map.of(WORKER, "ticket")), 1500);
+                request.term(), request.call(), Optional.of(Map.of(WORKER, "ticket")), 1500);
         storeThreads.execute(() -> begunTerm.join().onAdvice(answer));
       }
     }
