Take no count of waiting jobs from an answer to an earlier process

What callers would have seen: a count of waiting jobs told for longer than 2 s.

Cause: a count is dated by the time that the answered heartbeat stated. A scheduler may still answer a heartbeat of the process that had the address before, whose clock may have been ahead, and the date then lies in the future. Change: only counts that answer a heartbeat sent between the start of this process and now are taken.

Evidence: SchedulerElectionTests.areNotTakenFromAnswersToAnEarlierProcess; with the condition switched off 'expected: <Optional.empty> but was: <Optional[5]>' for each of its three cases. Measured: the 80 tests of the launcher, no failures.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
@@ -65,6 +66,7 @@
   private final MemberTransport transport;
   private final BiConsumer<Long, CallerAnswer> localAnswerSink;
   private final String selfAddress;
+  private final Instant startedAt;
   private volatile Optional<SchedulerTerm> ownTerm = Optional.empty();
   private volatile Optional<String> schedulerAddress = Optional.empty();
   private volatile long newestTerm;
@@ -90,7 +92,8 @@
     this.transport = transport;
     this.localAnswerSink = localAnswerSink;
     this.selfAddress = context.settings().peerAddress();
-    this.policy = ElectionPolicy.of(context.settings().processors(), context.clock().instant());
+    this.startedAt = context.clock().instant().truncatedTo(ChronoUnit.MILLIS);
+    this.policy = ElectionPolicy.of(context.settings().processors(), startedAt);
   }
 
   private Optional<SchedulerTerm> activeTerm() {
@@ -200,7 +203,8 @@
     schedulerReachedStore = heartbeat.storeWell();
     // Without a count, the last one remains in use until it is too old.
     heartbeat
-        .pending()
+        .pendingCount()
+        .filter(this::answersThisProcess)
         .map(count -> PendingJobs.fromMessage(heartbeat.term(), count))
         .ifPresent(counts -> reportedPendingJobs = Optional.of(counts));
     memberAddresses = heartbeat.members();
@@ -209,6 +213,16 @@
     }
   }
 
+  /**
+   * Returns whether a count answers a heartbeat of this process. The scheduler may still answer one
+   * of an earlier process under this address, whose clock may have differed.
+   */
+  private boolean answersThisProcess(MemberMessage.PendingCount count) {
+    Instant heartbeatSentAt = Instant.ofEpochMilli(count.heartbeatSentAtMillis());
+    return !heartbeatSentAt.isBefore(startedAt)
+        && !heartbeatSentAt.isAfter(context.clock().instant());
+  }
+
   private void onNotLeading(String sender, long term) {
     if (schedulerAddress.filter(sender::equals).isPresent() && activeTerm().isEmpty()) {
       if (lastSchedulerAnswered && !schedulerReachedStore) {
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
@@ -18,6 +18,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what a member knows from the heartbeats of schedulers. */
 class SchedulerElectionTests {
@@ -136,6 +138,15 @@
       assertEquals(Optional.empty(), pendingPlans());
     }
 
+    // An answer to an earlier process, whose clock was ahead, dated its count in the future.
+    @ParameterizedTest
+    @ValueSource(longs = {-1, 1001, 30_000})
+    void areNotTakenFromAnswersToAnEarlierProcess(long heartbeatMillisAfterStart) {
+      now = START.plusMillis(1000);
+      receiveHeartbeat(1, fivePlans(START.plusMillis(heartbeatMillisAfterStart), 0));
+      assertEquals(Optional.empty(), pendingPlans());
+    }
+
     @Test
     void areNotTakenFromAnEarlierTerm() {
       receiveHeartbeat(2, Optional.empty());
