Keep members of two versions from ending each other's connections

What an operator would have seen while members are replaced one after the other: members without a scheduler.

Cause: the counts in a scheduler's heartbeat had become a record under the name of the map that they were before. A heartbeat of a scheduler of the version before was read as a count without queues, whose use threw an exception in the thread that reads the connection; that ended the connection without a line in the log.

Change: the record has a name of its own, so that the count of the other version is not known rather than misread, and an exception of a receiver is reported as a fault of the link. A member of the version before does not find its map in a heartbeat of this version: it fails a question for the number of waiting jobs until it is replaced too, and forwards all else.

Not run: members of both versions in one cell.

--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/FramedLink.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/FramedLink.java
@@ -145,6 +145,12 @@
               + e.getMessage());
     } catch (IOException e) {
       // The connection is closed; the peer opens another one when it has something to send.
+    } catch (RuntimeException e) {
+      faultListener.accept(
+          "closed the connection after a frame from "
+              + socket.getRemoteSocketAddress()
+              + " could not be handled: "
+              + e);
     }
   }
 
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -51,12 +51,12 @@
    * @param term the sender's term as scheduler
    * @param storeWell whether the store has answered the scheduler recently; always false if the
    *     scheduler hands over leadership
-   * @param pending how many jobs have not started; empty if the scheduler has not counted them yet,
-   *     or if the message answers no heartbeat
+   * @param pendingCount how many jobs have not started; empty if the scheduler has not counted them
+   *     yet, if the message answers no heartbeat, or if the version of the sender does not state it
    * @param members the addresses of all members that the scheduler considers live
    */
   record LeaderHeartbeat(
-      long term, boolean storeWell, Optional<PendingCount> pending, Set<String> members)
+      long term, boolean storeWell, Optional<PendingCount> pendingCount, Set<String> members)
       implements MemberMessage {}
 
   /**
--- /dev/null
+++ b/hyssopport-protocol/src/test/java/org/hyssopport/protocol/MemberMessageTests.java
@@ -0,0 +1,37 @@
+package org.hyssopport.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Tests messages between members of different versions. */
+class MemberMessageTests {
+
+  // The count of an earlier version, a plain map, was read as a count without queues.
+  @Test
+  void heartbeatsOfSchedulersThatStateNoAgeCarryNoCount() {
+    Map<String, Object> heartbeat =
+        Map.of(
+            "t",
+            "l",
+            "term",
+            7,
+            "storeWell",
+            true,
+            "pending",
+            Map.of("plans", 5),
+            "members",
+            List.of("a:1"));
+    byte[] payload =
+        MessagePackCodec.of(Map.class).encode(Map.of("sender", "a:1", "message", heartbeat));
+    MemberMessage.MemberEnvelope envelope =
+        MessagePackCodec.of(MemberMessage.MemberEnvelope.class).decode(payload).get();
+    assertEquals(
+        new MemberMessage.LeaderHeartbeat(7, true, Optional.empty(), Set.of("a:1")),
+        envelope.message());
+  }
+}
