Report answers that the console can't read instead of printing zeros

What an operator saw: `hyssopport status` printed "not ready, configuration 0", no peers, and 0 requests and jobs for an answer that was empty, no JSON, or a failure without findings, and exited with 0 for the first two. `hyssopport timeline` left out the events of an instance with such an answer without saying so.

Cause: EntryClient.Reply.json returned an empty object for a body that is not JSON, and Output formatted the body of every reply.

Why it works: a body that is no JSON is empty, not an object. A reply is formatted only if it is an object and either a success or the outcome of a request; otherwise the command states the HTTP status, and exits with the code for an unknown outcome if the status was a success. The timeline names the instances whose answers are no list.

--- a/hyssopport-console/src/main/java/org/hyssopport/console/EntryClient.java
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/EntryClient.java
@@ -70,12 +70,13 @@
    */
   record Reply(int status, String body) {
 
-    /** Returns the body, or an empty object if the body is not JSON. */
-    JsonNode json() {
+    /** Returns the body, or empty if it is not JSON. */
+    Optional<JsonNode> json() {
       try {
-        return Json.mapper().readTree(body);
+        return Optional.of(Json.mapper().readTree(body)).filter(node -> !node.isMissingNode());
       } catch (JsonProcessingException e) {
-        return Json.mapper().createObjectNode();
+        // The caller reports the reply as unreadable.
+        return Optional.empty();
       }
     }
 
--- a/hyssopport-console/src/main/java/org/hyssopport/console/Output.java
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/Output.java
@@ -34,10 +34,16 @@
     EntryClient.Reply received = reply.get();
     if (json) {
       out.println(received.body());
-    } else if (received.json().has("findings")) {
-      printFindings(received.json().get("findings"));
+      return ExitCode.ofStatus(received.status());
+    }
+    Optional<JsonNode> body = received.json().filter(JsonNode::isObject);
+    if (body.filter(fields -> fields.has("findings")).isPresent()) {
+      printFindings(body.get().get("findings"));
+    } else if (body.filter(fields -> received.isOk() || fields.has("outcome")).isPresent()) {
+      formatter.print(body.get(), out);
     } else {
-      formatter.print(received.json(), out);
+      err.println("the answer of the entry instance can't be read; status " + received.status());
+      return received.isOk() ? ExitCode.UNKNOWN : ExitCode.ofStatus(received.status());
     }
     return ExitCode.ofStatus(received.status());
   }
--- a/hyssopport-console/src/main/java/org/hyssopport/console/TimelineCommand.java
+++ b/hyssopport-console/src/main/java/org/hyssopport/console/TimelineCommand.java
@@ -21,13 +21,18 @@
     boolean anyReached = false;
     for (String entry : flags.getString("entries").split(",", -1)) {
       Optional<EntryClient.Reply> reply = EntryClient.at(entry).get("/timeline");
-      if (reply.isEmpty() || !reply.get().isOk()) {
+      Optional<JsonNode> body =
+          reply
+              .filter(EntryClient.Reply::isOk)
+              .flatMap(EntryClient.Reply::json)
+              .filter(JsonNode::isArray);
+      if (body.isEmpty()) {
         err.println(
             "can't read the events of an entry instance; left out of the timeline: " + entry);
         continue;
       }
       anyReached = true;
-      for (JsonNode node : reply.get().json()) {
+      for (JsonNode node : body.get()) {
         events.add(parseEvent(node));
       }
     }
--- a/hyssopport-console/src/test/java/org/hyssopport/console/HyssopportTests.java
+++ b/hyssopport-console/src/test/java/org/hyssopport/console/HyssopportTests.java
@@ -4,13 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.net.httpserver.HttpServer;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -78,6 +84,66 @@
     }
   }
 
+  /** Guards against answers that can't be read and are printed as answers full of zeros. */
+  @Nested
+  class WhenTheAnswerIsNotUsable {
+
+    private final Map<String, String> variables = new HashMap<>();
+    private HttpServer server;
+    private int status;
+    private String body;
+
+    @BeforeEach
+    void start() throws IOException {
+      server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+      server.createContext(
+          "/",
+          exchange -> {
+            byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+            exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
+            exchange.getResponseBody().write(bytes);
+            exchange.close();
+          });
+      server.start();
+      String address = "127.0.0.1:" + server.getAddress().getPort();
+      variables.put("HYSSOPPORT_ENTRY", address);
+      variables.put("HYSSOPPORT_ENTRIES", address);
+    }
+
+    @AfterEach
+    void stop() {
+      server.stop(0);
+    }
+
+    // The status was printed with version 0, no peers and no jobs.
+    @ParameterizedTest
+    @CsvSource({
+      "200, '', UNKNOWN",
+      "200, no JSON, UNKNOWN",
+      "200, 7, UNKNOWN",
+      "500, internal error, REFUSED",
+      "503, '{}', REFUSED",
+      "504, '', UNKNOWN"
+    })
+    void statusIsNotPrinted(int answeredStatus, String text, ExitCode code) {
+      status = answeredStatus;
+      body = text;
+      assertEquals(code, run("status", variables));
+      assertEquals("", out.toString(StandardCharsets.UTF_8));
+      assertTrue(errors().contains("status " + answeredStatus), errors());
+    }
+
+    // The timeline lacked the instance's events without a word.
+    @ParameterizedTest
+    @CsvSource({"''", "no JSON", "'{}'"})
+    void timelineNamesTheInstance(String text) {
+      status = 200;
+      body = text;
+      run("timeline --entries " + variables.get("HYSSOPPORT_ENTRIES"), Map.of());
+      assertTrue(errors().contains(variables.get("HYSSOPPORT_ENTRIES")), errors());
+    }
+  }
+
   @Nested
   class WhenVariablesAreSet {
 
