--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -154,8 +154,8 @@
   }
 
   /**
-   * Returns until when the entries of other members are known: the time at which the last complete
-   * read of the journal was sent, by the local monotonic clock; empty before the first one.
+   * Returns when the last complete read of the journal was sent, by the local monotonic clock, or
+   * empty before the first one. All entries that other members had stored by then are known.
    */
   public Optional<Instant> journalReadAt() {
     return journalReadAt;
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -29,11 +29,11 @@
  * <p>A job that is accepted or cancelled without a scheduler is recorded in the journal, where the
  * next scheduler reads it.
  *
- * <p>A scheduler sends an answer to the member's address, and may owe it until after the member was
- * killed and started again there. Requests are therefore numbered from the wall-clock time in
- * nanoseconds at which the handler was created: a later process starts above all numbers of an
- * earlier one, unless the clock was set back. Even then, the two share a number only if their
- * starts lie fewer nanoseconds apart on that clock than one of them has numbered requests.
+ * <p>A scheduler sends an answer to the member's address, possibly after the member was killed and
+ * started again there. Requests are therefore numbered upwards from the wall-clock time in
+ * nanoseconds at which the handler was created, so that a later process uses numbers above those of
+ * an earlier one. If the clock was set back in between, numbers coincide only if both processes
+ * started at almost the same nanosecond of that clock.
  *
  * <p>A request occupies the thread that calls {@link #handle} until it is answered. {@link
  * SchedulerElection} reports the answers of schedulers on other threads.
@@ -182,8 +182,8 @@
   /**
    * Handles an answer of a scheduler to the request with the given number.
    *
-   * <p>An answer that can't be the answer to that request is not its answer. The request stays open
-   * until its own answer arrives or its deadline passes.
+   * <p>An answer whose kind does not fit the request is dropped. The request stays open until its
+   * own answer arrives or its deadline passes.
    */
   void onSchedulerAnswer(long number, CallerAnswer answer) {
     if (number <= numbersBegin) {
