Apply remembered cancellations to jobs that are submitted to the scheduler afterwards

What callers would have seen: a job runs although its cancellation was answered 200 by a member without a scheduler.

Cause: the scheduler remembers the cancellation of a job that is not stored yet, and applied it only when it read the job's entry of another member. A submission that arrives again, after the cancellation, is accepted by the scheduler itself; nothing looked there.

Why it works: whichever way a job becomes stored, its acceptance is confirmed or its entry is applied, and both now apply a remembered cancellation.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -70,8 +70,8 @@
   private final Deque<WaitingCancellation> waitingCancellations = new ArrayDeque<>();
 
   /**
-   * Unknown jobs that callers cancelled; such a job is cancelled once its entry is read, if another
-   * member stores it after all.
+   * Unknown jobs that callers cancelled; such a job is cancelled once it is stored, if a member
+   * stores it after all.
    */
   private final Set<JobId> cancelledUnknownJobs = new HashSet<>();
 
@@ -400,6 +400,7 @@
     context.requestPlacement();
     replyToAll(job, CallerAnswer.of(Verdict.ACCEPTED));
     removeCancelling(job).forEach(caller -> cancel(caller, job.id()));
+    applyRememberedCancellation(job.id());
   }
 
   private List<CallerRequestId> removeCancelling(Job job) {
@@ -508,6 +509,12 @@
     cancelIfKnown(id);
   }
 
+  private void applyRememberedCancellation(JobId id) {
+    if (cancelledUnknownJobs.remove(id)) {
+      cancelIfKnown(id);
+    }
+  }
+
   private void cancelIfKnown(JobId id) {
     jobs.find(id)
         .filter(job -> !job.isEnded())
@@ -551,9 +558,7 @@
       } else if (!found.get().acceptanceStored()) {
         confirmAcceptance(found.get());
       }
-      if (cancelledUnknownJobs.remove(entry.job())) {
-        cancelIfKnown(entry.job());
-      }
+      applyRememberedCancellation(entry.job());
     } else if (entry instanceof JournalEntry.Cancelled) {
       cancelOrRemember(entry.job());
     }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
@@ -207,6 +207,18 @@
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
+    // Ignored for the submission that was repeated at the scheduler, so that the job ran.
+    @Test
+    void thatOtherMembersStoreTakeEffectForJobsThatAreSubmittedAfterwards() {
+      feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Cancelled(ID))));
+      request(new CallerRequest.Submit(job()));
+      CallerAnswer submitted = answers(feed(new SchedulerEvent.JournalBatchStored())).get(0);
+      assertEquals(Verdict.ACCEPTED, submitted.verdict());
+      feed(new SchedulerEvent.JournalBatchStored());
+      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      assertEquals(Optional.of(JobState.CANCELLED), shown.state());
+    }
+
     @Test
     void takeEffectForJobsOfOtherMembersThatWereNotReadYet() {
       assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
