Test random faults with members that store without a scheduler

The random faults of CellSchedulerTests left out what members store by themselves. The checks are those of the simulation, and all accepted jobs that nobody cancelled must be shown as complete. For that, no tasks fail here.

--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -229,6 +229,10 @@
       handle(new SchedulerEvent.JournalBatchRefused());
       return;
     }
+    if (journal.isRefusingTerms() && !alreadyAppended) {
+      handle(new SchedulerEvent.JournalBatchRefused());
+      return;
+    }
     if (journal.isDown()) {
       retryStore(entries, alreadyAppended);
       return;
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
@@ -20,6 +20,8 @@
   private final List<AppendedEntry> log = new ArrayList<>();
   private boolean down;
   private boolean failingReads;
+  private boolean refusingTerms;
+  private int interruptions;
   private double lostAnswerShare;
 
   /** An entry and the term that appended it, empty if a member did without a scheduler. */
@@ -28,6 +30,7 @@
   /** Makes the store unavailable, or available again. */
   public void setDown(boolean nowDown) {
     down = nowDown;
+    countInterruption(nowDown);
   }
 
   /** Sets the share of appends that take effect but whose answer is lost. */
@@ -38,6 +41,27 @@
   /** Makes reads fail, or succeed again; appends are not affected. */
   public void setFailingReads(boolean nowFailing) {
     failingReads = nowFailing;
+    countInterruption(nowFailing);
+  }
+
+  /** Makes the appends of schedulers be refused, or succeed again; members are not affected. */
+  public void setRefusingTerms(boolean nowRefusing) {
+    refusingTerms = nowRefusing;
+  }
+
+  private void countInterruption(boolean begins) {
+    if (begins) {
+      interruptions++;
+    }
+  }
+
+  /** Returns how often the journal has become unreadable so far. */
+  int interruptions() {
+    return interruptions;
+  }
+
+  boolean isRefusingTerms() {
+    return refusingTerms;
   }
 
   boolean isDown() {
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
@@ -41,6 +41,9 @@
   /** How long after its acceptance a job may still be unknown to some members. */
   private static final Duration VISIBILITY_DELAY = Duration.ofSeconds(3);
 
+  /** Each scheduler reads the journal at least once in this time, if it can be read. */
+  private static final Duration JOURNAL_READ_SPAN = Duration.ofMillis(300);
+
   private final VirtualTime time = new VirtualTime();
   private final Random random;
   private final SimulatedWorkers workers;
@@ -54,6 +57,7 @@
   private final Map<JobId, Instant> completeAt = new HashMap<>();
   private final Map<JobId, JobState> lastState = new HashMap<>();
   private final Set<JobId> cancelledJobs = new HashSet<>();
+  private final Set<JobId> jobsWithCancellation = new HashSet<>();
   private final Map<Long, CallerRequest> openRequests = new HashMap<>();
   private Optional<SchedulerHost> host = Optional.empty();
   private final List<String> decisions = new ArrayList<>();
@@ -162,11 +166,11 @@
   }
 
   /**
-   * Starts a scheduler of a new term while the older one may still run. While the journal is down,
-   * the start is retried every 1.5 s.
+   * Starts a scheduler of a new term while the older one may still run. While the journal can't be
+   * read, the start is retried every 1.5 s.
    */
   public void electScheduler() {
-    if (journal.isDown()) {
+    if (!journal.isReadable()) {
       time.after(TAKE_OVER_DELAY, this::electScheduler);
       return;
     }
@@ -186,12 +190,39 @@
   /** Submits a job to a member that stores it in the journal without a scheduler. */
   public JobId submitWithoutScheduler(QueuePolicy queue, List<StepDefinition> steps) {
     JobDefinition job = define(queue, steps);
-    journal.appendWithoutTerm(new JournalEntry.Accepted(job));
-    acceptedAt.put(job.id(), time.now());
-    visibleFrom.put(job.id(), time.now().plus(VISIBILITY_DELAY));
+    acceptWithoutScheduler(job);
+    return job.id();
+  }
+
+  /** Submits a job to a member whose append to the journal arrives after a delay. */
+  public JobId submitWithoutScheduler(
+      QueuePolicy queue, List<StepDefinition> steps, Duration delay) {
+    JobDefinition job = define(queue, steps);
+    time.after(delay, () -> acceptWithoutScheduler(job));
     return job.id();
   }
 
+  /**
+   * Submits a job to a member that forwards it to the scheduler and also stores it itself, after a
+   * delay. The submission is repeated until it is accepted.
+   */
+  public JobId submitForwarded(QueuePolicy queue, List<StepDefinition> steps, Duration delay) {
+    JobDefinition job = define(queue, steps);
+    time.after(delay, () -> acceptWithoutScheduler(job));
+    sendRequest(new CallerRequest.Submit(job));
+    return job.id();
+  }
+
+  private void acceptWithoutScheduler(JobDefinition job) {
+    if (journal.isDown()) {
+      time.after(RETRY_DELAY, () -> acceptWithoutScheduler(job));
+      return;
+    }
+    journal.appendWithoutTerm(new JournalEntry.Accepted(job));
+    acceptedAt.putIfAbsent(job.id(), time.now());
+    visibleFrom.putIfAbsent(job.id(), time.now().plus(VISIBILITY_DELAY));
+  }
+
   private JobDefinition define(QueuePolicy queue, List<StepDefinition> steps) {
     lastNumber++;
     JobId id = new JobId(String.format("%016x", lastNumber));
@@ -204,9 +235,41 @@
 
   /** Cancels a job; the request is repeated until the cancellation is confirmed. */
   public void cancel(JobId id) {
+    jobsWithCancellation.add(id);
     sendRequest(new CallerRequest.Cancel(id));
   }
 
+  /**
+   * Cancels a job at a member that stores the cancellation in the journal without a scheduler and
+   * confirms it. The job itself may not be stored yet.
+   */
+  public void cancelWithoutScheduler(JobId id) {
+    jobsWithCancellation.add(id);
+    if (journal.isDown()) {
+      time.after(RETRY_DELAY, () -> cancelWithoutScheduler(id));
+      return;
+    }
+    journal.appendWithoutTerm(new JournalEntry.Cancelled(id));
+    cancelledJobs.add(id);
+    recordCancellationOnceReadable(id);
+  }
+
+  /** Records a cancellation as of the time from which no scheduler can have failed to read it. */
+  private void recordCancellationOnceReadable(JobId id) {
+    Instant from = time.now();
+    int interruptionsBefore = journal.interruptions();
+    boolean readableBefore = journal.isReadable();
+    time.after(
+        JOURNAL_READ_SPAN,
+        () -> {
+          if (readableBefore && journal.interruptions() == interruptionsBefore) {
+            workers.runChecker().recordCancellation(id, from);
+          } else {
+            recordCancellationOnceReadable(id);
+          }
+        });
+  }
+
   /** Requests the state of every accepted job from the current scheduler, if there is one. */
   public void requestJobStates() {
     acceptedAt.keySet().forEach(id -> sendRequest(new CallerRequest.Show(id)));
@@ -322,6 +385,14 @@
     return unfinished;
   }
 
+  /** Returns the accepted jobs that no caller cancelled and that were not shown as complete. */
+  public List<JobId> incomplete() {
+    return acceptedAt.keySet().stream()
+        .filter(id -> !jobsWithCancellation.contains(id))
+        .filter(id -> state(id).filter(state -> state == JobState.COMPLETE).isEmpty())
+        .toList();
+  }
+
   /**
    * Returns, for each worker that could not be reached with an order, the time from the first run
    * whose order did not reach it to the last such run.
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
@@ -177,6 +177,80 @@
       runWithRandomFaults(seed, false);
     }
 
+    /** Returns seeds; {@code -Dhyssopport.fuzz.member.seeds=5000} sets another maximum than 200. */
+    static LongStream memberSeeds() {
+      return LongStream.rangeClosed(1, Long.getLong("hyssopport.fuzz.member.seeds", 200));
+    }
+
+    /** Guards against schedulers that deny, lose or run what members store by themselves. */
+    @ParameterizedTest
+    @MethodSource("memberSeeds")
+    void noGuaranteeIsViolatedWhenMembersStoreWithoutScheduler(long seed) {
+      Simulation faulty = Simulation.create(seed, 12, WORKER_CAPACITY, 4, 0.6);
+      faulty.orderFaults().setLateOrdersOutliveRestart(false);
+      Random random = new Random(seed);
+      List<JobId> jobs = new ArrayList<>();
+      for (int step = 0; step < 120; step++) {
+        faulty.advance(Duration.ofMillis(random.nextInt(250)));
+        applyRandomMemberAction(faulty, random, jobs);
+      }
+      faulty.journal().setFailingReads(false);
+      faulty.journal().setRefusingTerms(false);
+      clearFaultsAndCheck(faulty);
+      assertEquals(List.of(), faulty.incomplete());
+    }
+
+    private void applyRandomMemberAction(Simulation faulty, Random random, List<JobId> jobs) {
+      switch (random.nextInt(16)) {
+        case 0 -> jobs.add(faulty.submitWithoutScheduler(Steps.queue(2, 4), randomSteps(random)));
+        case 1 -> jobs.add(submitForwarded(faulty, random));
+        case 2 -> {
+          JobId job = submitForwarded(faulty, random);
+          jobs.add(job);
+          faulty.cancelWithoutScheduler(job);
+        }
+        case 3 -> {
+          Duration delay = Duration.ofMillis(random.nextInt(4000));
+          JobId job = faulty.submitWithoutScheduler(Steps.queue(2, 4), randomSteps(random), delay);
+          jobs.add(job);
+          faulty.cancelWithoutScheduler(job);
+        }
+        case 4 -> {
+          if (!jobs.isEmpty()) {
+            faulty.cancelWithoutScheduler(jobs.get(random.nextInt(jobs.size())));
+          }
+        }
+        case 5 -> {
+          faulty.journal().setFailingReads(true);
+          Duration span = Duration.ofMillis(random.nextInt(4000));
+          faulty.after(span, () -> faulty.journal().setFailingReads(false));
+        }
+        case 6 -> {
+          faulty.journal().setRefusingTerms(true);
+          Duration span = Duration.ofMillis(random.nextInt(1500));
+          faulty.after(span, () -> faulty.journal().setRefusingTerms(false));
+        }
+        case 7 -> faulty.requestJobStates();
+        default -> {
+          applyRandomAction(faulty, random, jobs);
+          // Failed tasks would end jobs that must complete here.
+          for (int index = 0; index < faulty.workers().count(); index++) {
+            faulty.workers().atIndex(index).setFailsEverything(false);
+          }
+        }
+      }
+    }
+
+    /** Submits a job that a member stores while its forwarded submission may be in flight. */
+    private JobId submitForwarded(Simulation faulty, Random random) {
+      Duration delay = Duration.ofMillis(random.nextInt(random.nextBoolean() ? 15 : 4000));
+      return faulty.submitForwarded(Steps.queue(2, 4), randomSteps(random), delay);
+    }
+
+    private List<StepDefinition> randomSteps(Random random) {
+      return List.of(Steps.plain(1 + random.nextInt(6), 4000, 300 + random.nextInt(2000)));
+    }
+
     private void runWithRandomFaults(long seed, boolean lateOrdersOutliveRestart) {
       Simulation faulty = Simulation.create(seed, 12, WORKER_CAPACITY, 4, 0.6);
       faulty.orderFaults().setLateOrdersOutliveRestart(lateOrdersOutliveRestart);
@@ -186,6 +260,10 @@
         faulty.advance(Duration.ofMillis(random.nextInt(250)));
         applyRandomAction(faulty, random, jobs);
       }
+      clearFaultsAndCheck(faulty);
+    }
+
+    private void clearFaultsAndCheck(Simulation faulty) {
       clearFaults(faulty);
       for (int round = 0; round < 60 && (round < 5 || !faulty.unfinished().isEmpty()); round++) {
         faulty.advance(Duration.ofSeconds(1));
