--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JobStateCache.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JobStateCache.java
@@ -27,6 +27,12 @@
   /** A tenth of the time within which a change of state must become visible to callers. */
   private static final Duration MAXIMUM_AGE = Duration.ofMillis(300);
 
+  /**
+   * How long after a read of the journal was sent an unknown job is taken for one that does not
+   * exist: half of the time after which an accepted job must be known.
+   */
+  private static final Duration MAXIMUM_AGE_FOR_ABSENCE = Duration.ofMillis(1500);
+
   private final MemberContext context;
   private final Map<JobId, JobState> states = new HashMap<>();
 
@@ -36,13 +42,16 @@
   private Optional<Long> nextOffset = Optional.empty();
   private Instant readAt = Instant.MIN;
 
+  /** When the last read was sent: records that were stored later may be missing. */
+  private Instant completeUntil = Instant.MIN;
+
   JobStateCache(MemberContext context) {
     this.context = context;
   }
 
   /** The result of looking a job up in the store. */
   enum LookupStatus {
-    /** The journal could not be read. */
+    /** The journal could not be read, or not recently enough to tell that it lacks the job. */
     UNREACHABLE,
     /** A record of the job can't be decoded, so its state is not known. */
     UNREADABLE,
@@ -62,21 +71,38 @@
 
   /** Returns the state of a job; reads the journal first unless that was done recently. */
   synchronized JobLookup lookUp(JobId id) {
-    if (context.clock().instant().isAfter(readAt.plus(MAXIMUM_AGE)) && !refresh()) {
+    boolean due = context.clock().instant().isAfter(readAt.plus(MAXIMUM_AGE));
+    if (due && !refreshUntilComplete()) {
       return new JobLookup(LookupStatus.UNREACHABLE, Optional.empty());
     }
     if (hasUnreadableRecord(id)) {
       return new JobLookup(LookupStatus.UNREADABLE, Optional.empty());
     }
     Optional<JobState> state = Optional.ofNullable(states.get(id));
+    if (state.isEmpty() && mayLackNewJobs()) {
+      return new JobLookup(LookupStatus.UNREACHABLE, Optional.empty());
+    }
     return new JobLookup(state.isPresent() ? LookupStatus.KNOWN : LookupStatus.ABSENT, state);
   }
 
+  private boolean mayLackNewJobs() {
+    return context.clock().instant().isAfter(completeUntil.plus(MAXIMUM_AGE_FOR_ABSENCE));
+  }
+
+  /**
+   * Reads the journal, and once more if that took so long that newer records may be missing: the
+   * second read returns only those.
+   */
+  private boolean refreshUntilComplete() {
+    return refresh() && (!mayLackNewJobs() || refresh());
+  }
+
   /**
    * Applies the records appended since the last read; returns false if they could not be read. If
    * the store has dropped unread records, the next call reads the newest record of each key.
    */
   private boolean refresh() {
+    Instant sentAt = context.clock().instant();
     Either<StoreFailure, StorePage> page =
         nextOffset.isEmpty()
             ? context.store().readNewest(JournalCodec.TOPIC)
@@ -99,6 +125,7 @@
     applyRecords(page.get().records());
     nextOffset = Optional.of(page.get().nextOffset());
     readAt = context.clock().instant();
+    completeUntil = sentAt;
     return true;
   }
 
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
@@ -15,6 +15,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JobState;
@@ -40,7 +41,14 @@
   private static final JobId ID = new JobId("0123456789abcdef");
   private static final byte[] UNREADABLE = {(byte) 0xc1};
 
+  /** The end and the first retained offset of a topic without records. */
+  private static final byte[] EMPTY_PAGE = new byte[2 * Long.BYTES];
+
   private final List<String> items = new ArrayList<>();
+  private volatile Instant now = Instant.parse("2026-01-01T00:00:00Z");
+  private volatile Duration readingTime = Duration.ZERO;
+  private volatile boolean laterReadsFail;
+  private final AtomicInteger laterReads = new AtomicInteger();
   private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
   private HttpServer storeServer;
   private JobStateCache cache;
@@ -51,6 +59,7 @@
     storeServer.createContext(
         "/api/log-newest",
         exchange -> {
+          now = now.plus(readingTime);
           String text =
               "{\"items\":[" + String.join(",", items) + "],\"end\":" + items.size() + "}";
           byte[] body = text.getBytes(StandardCharsets.UTF_8);
@@ -58,13 +67,22 @@
           exchange.getResponseBody().write(body);
           exchange.close();
         });
+    storeServer.createContext(
+        "/api/log-read",
+        exchange -> {
+          laterReads.incrementAndGet();
+          boolean fails = laterReadsFail;
+          exchange.sendResponseHeaders(fails ? 503 : 200, fails ? -1 : EMPTY_PAGE.length);
+          if (!fails) {
+            exchange.getResponseBody().write(EMPTY_PAGE);
+          }
+          exchange.close();
+        });
     storeServer.start();
     cache =
         new JobStateCache(
             MemberContexts.create(
-                "127.0.0.1:" + storeServer.getAddress().getPort(),
-                new MonotonicClock(),
-                logOutput));
+                "127.0.0.1:" + storeServer.getAddress().getPort(), () -> now, logOutput));
   }
 
   @AfterEach
@@ -110,6 +128,21 @@
     assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
   }
 
+  // A job that was stored while the whole journal was being read was shown as absent.
+  @Test
+  void doesNotDenyJobsThatMayHaveBeenStoredDuringLongReads() {
+    readingTime = Duration.ofSeconds(4);
+    laterReadsFail = true;
+    assertEquals(LookupStatus.UNREACHABLE, cache.lookUp(ID).status());
+  }
+
+  @Test
+  void showsJobsAsAbsentOnceTheRecordsAfterLongReadsAreRead() {
+    readingTime = Duration.ofSeconds(4);
+    assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
+    assertEquals(1, laterReads.get());
+  }
+
   // A job with an unreadable record was shown as absent, or in an earlier state.
   @ParameterizedTest
   @ValueSource(strings = {"j", "p"})
