Refuse submissions that were not sent when the store becomes unavailable

A submission that reached the scheduler while a batch was in flight waited for that batch, was not sent to the store, and was answered 504 at the end of its caller's time.

Cause: the scheduler refuses submissions only from the moment at which it knows that the store is away; those that wait for the next batch by then stay there until the batch in flight is settled.

Change: they are refused (503 with Retry-After) when the store becomes unavailable. They were in no batch, so "not run" is true; those in flight go on waiting. The queue keeps a new job together with what to run for it, so that only new jobs are refused, and not the changes of others.

Test: thatWereNotSentAreRefusedWhenTheStoreBecomesUnavailable, "expected: <[UNAVAILABLE]> but was: <[]>" before.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -16,17 +16,10 @@
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JournalEntry;
-import org.hyssopport.engine.job.Step;
-import org.hyssopport.engine.job.Task;
-import org.hyssopport.engine.platform.FailureDomain;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
-import org.hyssopport.engine.worker.RunId;
-import org.hyssopport.engine.worker.RunPhase;
-import org.hyssopport.engine.worker.TrackedRun;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerDescription;
-import org.hyssopport.policy.Resources;
 
 /**
  * The scheduler of a cell during one term.
@@ -62,6 +55,7 @@
   private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry();
   private final JournalQueue journal = new JournalQueue();
   private final AdviceDispatcher adviceDispatcher = AdviceDispatcher.create();
+  private final JournalRecovery journalRecovery;
   private final RunManager runManager;
   private final PlacementManager placement;
   private final WorkerPoller poller;
@@ -95,6 +89,7 @@
 
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
+    journalRecovery = new JournalRecovery(context, jobs, workers);
     runManager = new RunManager(context, jobs, workers, journal);
     placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher);
     poller = new WorkerPoller(context, workers, runManager);
@@ -183,7 +178,7 @@
     } else if (event instanceof SchedulerEvent.JournalBatchRefused) {
       journal.onBatchRefused();
     } else if (event instanceof SchedulerEvent.StoreAvailabilityChanged changed) {
-      storeAvailable = changed.available();
+      onStoreAvailabilityChanged(changed.available());
     } else if (event instanceof SchedulerEvent.StoreAnswered) {
       lastStoreAnswerAt = context.now();
     } else if (event instanceof SchedulerEvent.OtherMemberEntriesRead entriesRead) {
@@ -206,6 +201,17 @@
     }
   }
 
+  /**
+   * Refuses the submissions that have not been sent to the store when it becomes unavailable:
+   * callers would otherwise wait for their whole time and then not know whether their jobs exist.
+   */
+  private void onStoreAvailabilityChanged(boolean available) {
+    storeAvailable = available;
+    if (!available) {
+      journal.refuseUnsentJobs();
+    }
+  }
+
   private void tick() {
     if (recovered) {
       poller.expireLeases();
@@ -229,20 +235,9 @@
 
   private void recover(SchedulerEvent.Recovered recovery) {
     lastStoreAnswerAt = context.now();
-    Map<JobId, JournalEntry.Progressed> progress = new HashMap<>();
-    Set<JobId> cancelled = new HashSet<>();
-    for (JournalEntry entry : recovery.entries()) {
-      if (entry instanceof JournalEntry.Accepted accepted) {
-        jobs.add(toStoredJob(accepted.definition()));
-      } else if (entry instanceof JournalEntry.Progressed progressed) {
-        progress.put(entry.job(), progressed);
-      } else if (entry instanceof JournalEntry.Cancelled) {
-        cancelled.add(entry.job());
-      }
-    }
-    progress.values().forEach(this::restoreProgress);
+    Set<JobId> cancelled = journalRecovery.restoreJobs(recovery.entries());
     updateWorkers(recovery.workers());
-    jobs.active().forEach(this::inheritRuns);
+    journalRecovery.inheritRuns();
     recovered = true;
     cancelled.forEach(this::cancelOrRemember);
     context.logDecision(
@@ -255,64 +250,6 @@
             "workers", recovery.workers().size()));
   }
 
-  private Job toStoredJob(JobDefinition definition) {
-    Duration age = Duration.between(definition.acceptedAt(), context.wallClockTime());
-    Job job = Job.accepted(definition, context.now().minus(age.isNegative() ? Duration.ZERO : age));
-    job.markAcceptanceStored();
-    return job;
-  }
-
-  private void restoreProgress(JournalEntry.Progressed entry) {
-    jobs.find(entry.job())
-        .ifPresent(
-            job -> {
-              job.restore(entry.progress(), context.now());
-              jobs.deactivateIfEnded(job);
-            });
-  }
-
-  /** Accounts for the runs that an earlier scheduler assigned, until their workers report. */
-  private void inheritRuns(Job job) {
-    for (Step step : job.steps()) {
-      for (Task task : step.tasks()) {
-        task.worker().ifPresent(worker -> inheritRun(step, task, worker));
-      }
-    }
-  }
-
-  private void inheritRun(Step step, Task task, WorkerId id) {
-    RunId runId = new RunId(task.id(), task.lastRunNumber());
-    Optional<TrackedWorker> found = workers.find(id);
-    if (found.isEmpty()) {
-      TrackedWorker unlisted = createUnlistedWorker(step, task, id);
-      workers.put(unlisted);
-      found = Optional.of(unlisted);
-    }
-    found.get().add(TrackedRun.of(runId, step, RunPhase.INHERITED, context.now()));
-  }
-
-  /** Returns a placeholder for a worker that the live list lacks, kept until its lease expires. */
-  private TrackedWorker createUnlistedWorker(Step step, Task task, WorkerId id) {
-    WorkerDescription description =
-        new WorkerDescription(
-            id,
-            task.incarnation(),
-            "",
-            step.job().definition().queue().service(),
-            new FailureDomain("unknown"),
-            Resources.NONE,
-            Set.of(),
-            "",
-            true);
-    TrackedWorker unlisted = TrackedWorker.withoutReport(description, inheritedLeaseUntil());
-    unlisted.markUnlisted();
-    return unlisted;
-  }
-
-  private Instant inheritedLeaseUntil() {
-    return context.now().plus(context.settings().longestInheritedLease());
-  }
-
   private void updateWorkers(List<WorkerDescription> descriptions) {
     Set<WorkerId> listedIds = new HashSet<>();
     for (WorkerDescription description : descriptions) {
@@ -343,7 +280,7 @@
         return;
       }
     }
-    TrackedWorker worker = TrackedWorker.withoutReport(description, inheritedLeaseUntil());
+    TrackedWorker worker = TrackedWorker.withoutReport(description, context.inheritedLeaseUntil());
     workers.put(worker);
     found.ifPresent(earlier -> runManager.onWorkerRestarted(earlier, worker));
     runManager.stopUnansweredStarts(worker);
@@ -387,8 +324,7 @@
   private void accept(JobDefinition definition) {
     Job job = Job.accepted(definition, context.now());
     jobs.add(job);
-    journal.addAccepted(job);
-    journal.afterStored(() -> confirmAcceptance(job), () -> withdrawAcceptance(job));
+    journal.addAccepted(job, () -> confirmAcceptance(job), () -> withdrawAcceptance(job));
     context.logDecision(
         "accepted",
         definition.id(),
@@ -553,7 +489,7 @@
     if (entry instanceof JournalEntry.Accepted accepted) {
       Optional<Job> found = jobs.find(accepted.job());
       if (found.isEmpty()) {
-        jobs.add(toStoredJob(accepted.definition()));
+        jobs.add(journalRecovery.toStoredJob(accepted.definition()));
         context.logDecision("accepted elsewhere", accepted.job(), Map.of());
       } else if (!found.get().acceptanceStored()) {
         confirmAcceptance(found.get());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalQueue.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalQueue.java
@@ -1,8 +1,10 @@
 package org.hyssopport.engine.scheduler;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.hyssopport.engine.job.Job;
@@ -23,7 +25,7 @@
    */
   private static final int MAXIMUM_FORGOTTEN_JOBS = 400;
 
-  private final Set<Job> accepted = new LinkedHashSet<>();
+  private final Map<Job, Continuation> accepted = new LinkedHashMap<>();
   private final Set<Job> progressed = new LinkedHashSet<>();
   private final Set<JobId> forgotten = new LinkedHashSet<>();
   private List<Continuation> nextContinuations = new ArrayList<>();
@@ -38,8 +40,12 @@
    */
   private record Continuation(Runnable ifStored, Optional<Runnable> ifRefused) {}
 
-  void addAccepted(Job job) {
-    accepted.add(job);
+  /**
+   * Adds a new job, and runs one action once it is stored, or another once it is certain that it is
+   * not.
+   */
+  void addAccepted(Job job, Runnable ifStored, Runnable ifRefused) {
+    accepted.put(job, new Continuation(ifStored, Optional.of(ifRefused)));
   }
 
   void addProgressed(Job job) {
@@ -77,16 +83,17 @@
       return Optional.empty();
     }
     List<JournalEntry> entries = new ArrayList<>();
-    accepted.forEach(job -> entries.add(new JournalEntry.Accepted(job.definition())));
+    accepted.keySet().forEach(job -> entries.add(new JournalEntry.Accepted(job.definition())));
     progressed.forEach(job -> entries.add(new JournalEntry.Progressed(job.progress())));
     forgottenInFlight = new LinkedHashSet<>();
     forgotten.stream().limit(MAXIMUM_FORGOTTEN_JOBS).forEach(forgottenInFlight::add);
     forgottenInFlight.forEach(id -> entries.add(new JournalEntry.Forgotten(id)));
     progressedInFlight = new LinkedHashSet<>(progressed);
+    inFlightContinuations = new ArrayList<>(accepted.values());
+    inFlightContinuations.addAll(drainContinuations());
     accepted.clear();
     progressed.clear();
     forgotten.removeAll(forgottenInFlight);
-    inFlightContinuations = drainContinuations();
     batchInFlight = true;
     return Optional.of(entries);
   }
@@ -128,6 +135,15 @@
     }
   }
 
+  /**
+   * Refuses the new jobs that no batch contains yet. Those of the batch in flight may be stored.
+   */
+  void refuseUnsentJobs() {
+    List<Continuation> refused = List.copyOf(accepted.values());
+    accepted.clear();
+    refused.forEach(continuation -> continuation.ifRefused().orElseThrow().run());
+  }
+
   /** Drops the entries of a job whose acceptance was refused. */
   void withdraw(Job job) {
     accepted.remove(job);
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
@@ -0,0 +1,117 @@
+package org.hyssopport.engine.scheduler;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hyssopport.engine.job.Job;
+import org.hyssopport.engine.job.JobDefinition;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.job.Step;
+import org.hyssopport.engine.job.Task;
+import org.hyssopport.engine.platform.FailureDomain;
+import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.worker.RunId;
+import org.hyssopport.engine.worker.RunPhase;
+import org.hyssopport.engine.worker.TrackedRun;
+import org.hyssopport.engine.worker.TrackedWorker;
+import org.hyssopport.engine.worker.WorkerDescription;
+import org.hyssopport.policy.Resources;
+
+/** Restores the jobs and their runs from the journal at the beginning of a term. */
+final class JournalRecovery {
+
+  private final SchedulerContext context;
+  private final JobRegistry jobs;
+  private final TrackedWorkerRegistry workers;
+
+  JournalRecovery(SchedulerContext context, JobRegistry jobs, TrackedWorkerRegistry workers) {
+    this.context = context;
+    this.jobs = jobs;
+    this.workers = workers;
+  }
+
+  /**
+   * Restores the jobs that the entries describe.
+   *
+   * @param entries the newest entry of each kind for each job
+   * @return the jobs that callers have cancelled; they are not cancelled yet
+   */
+  Set<JobId> restoreJobs(List<JournalEntry> entries) {
+    Map<JobId, JournalEntry.Progressed> progress = new HashMap<>();
+    Set<JobId> cancelled = new HashSet<>();
+    for (JournalEntry entry : entries) {
+      if (entry instanceof JournalEntry.Accepted accepted) {
+        jobs.add(toStoredJob(accepted.definition()));
+      } else if (entry instanceof JournalEntry.Progressed progressed) {
+        progress.put(entry.job(), progressed);
+      } else if (entry instanceof JournalEntry.Cancelled) {
+        cancelled.add(entry.job());
+      }
+    }
+    progress.values().forEach(this::restoreProgress);
+    return cancelled;
+  }
+
+  /** Returns a job whose acceptance is stored in the journal. */
+  Job toStoredJob(JobDefinition definition) {
+    Duration age = Duration.between(definition.acceptedAt(), context.wallClockTime());
+    Job job = Job.accepted(definition, context.now().minus(age.isNegative() ? Duration.ZERO : age));
+    job.markAcceptanceStored();
+    return job;
+  }
+
+  private void restoreProgress(JournalEntry.Progressed entry) {
+    jobs.find(entry.job())
+        .ifPresent(
+            job -> {
+              job.restore(entry.progress(), context.now());
+              jobs.deactivateIfEnded(job);
+            });
+  }
+
+  /** Accounts for the runs that an earlier scheduler assigned, until their workers report. */
+  void inheritRuns() {
+    for (Job job : jobs.active()) {
+      for (Step step : job.steps()) {
+        for (Task task : step.tasks()) {
+          task.worker().ifPresent(worker -> inheritRun(step, task, worker));
+        }
+      }
+    }
+  }
+
+  private void inheritRun(Step step, Task task, WorkerId id) {
+    RunId runId = new RunId(task.id(), task.lastRunNumber());
+    Optional<TrackedWorker> found = workers.find(id);
+    if (found.isEmpty()) {
+      TrackedWorker unlisted = createUnlistedWorker(step, task, id);
+      workers.put(unlisted);
+      found = Optional.of(unlisted);
+    }
+    found.get().add(TrackedRun.of(runId, step, RunPhase.INHERITED, context.now()));
+  }
+
+  /** Returns a placeholder for a worker that the live list lacks, kept until its lease expires. */
+  private TrackedWorker createUnlistedWorker(Step step, Task task, WorkerId id) {
+    WorkerDescription description =
+        new WorkerDescription(
+            id,
+            task.incarnation(),
+            "",
+            step.job().definition().queue().service(),
+            new FailureDomain("unknown"),
+            Resources.NONE,
+            Set.of(),
+            "",
+            true);
+    TrackedWorker unlisted =
+        TrackedWorker.withoutReport(description, context.inheritedLeaseUntil());
+    unlisted.markUnlisted();
+    return unlisted;
+  }
+}
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerContext.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerContext.java
@@ -39,6 +39,11 @@
     return wallClockTime;
   }
 
+  /** Returns when every lease that an earlier scheduler may just have granted has expired. */
+  Instant inheritedLeaseUntil() {
+    return now.plus(settings.longestInheritedLease());
+  }
+
   /** Requests a placement pass, after a change that may let a waiting task start. */
   void requestPlacement() {
     placementRequested = true;
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
@@ -23,6 +23,7 @@
   static final Instant NOW = Instant.parse("2026-12-04T06:00:00Z");
   static final CallerRequestId CALLER = new CallerRequestId("member", 1);
   static final JobId ID = new JobId("0123456789abcdef");
+  static final JobId OTHER_ID = new JobId("0123456789abcde0");
 
   static final SchedulerSettings SETTINGS =
       SchedulerSettings.of(Duration.ofSeconds(10), Duration.ofSeconds(3), Duration.ofMinutes(2));
@@ -38,10 +39,18 @@
   }
 
   static JobDefinition job() {
-    return job(Optional.empty());
+    return job(ID);
+  }
+
+  static JobDefinition job(JobId id) {
+    return job(id, Optional.empty());
   }
 
   static JobDefinition job(Optional<AdvicePolicy> advice) {
+    return job(ID, advice);
+  }
+
+  private static JobDefinition job(JobId id, Optional<AdvicePolicy> advice) {
     StepDefinition step =
         new StepDefinition(
             1,
@@ -57,7 +66,7 @@
             false,
             false);
     return new JobDefinition(
-        ID,
+        id,
         new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, advice),
         "",
         List.of(step),
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
@@ -56,6 +56,25 @@
           answers(effects).stream().map(CallerAnswer::verdict).toList());
     }
 
+    // Callers waited for their whole time and were told that the outcome was uncertain.
+    @Test
+    void thatWereNotSentAreRefusedWhenTheStoreBecomesUnavailable() {
+      request(new CallerRequest.Submit(job()));
+      assertEquals(List.of(), answers(request(new CallerRequest.Submit(job(OTHER_ID)))));
+      List<CallerAnswer> answers =
+          answers(feed(new SchedulerEvent.StoreAvailabilityChanged(false)));
+      assertEquals(
+          List.of(Verdict.UNAVAILABLE), answers.stream().map(CallerAnswer::verdict).toList());
+      assertTrue(answers.get(0).retryAfter().isPresent());
+      feed(new SchedulerEvent.StoreAvailabilityChanged(true));
+      List<SchedulerEffect> effects = feed(new SchedulerEvent.JournalBatchStored());
+      assertEquals(
+          List.of(Verdict.ACCEPTED), answers(effects).stream().map(CallerAnswer::verdict).toList());
+      assertFalse(effects.stream().anyMatch(SchedulerEffect.Store.class::isInstance));
+      CallerAnswer shown = answers(request(new CallerRequest.Show(OTHER_ID))).get(0);
+      assertEquals(Verdict.UNKNOWN_JOB, shown.verdict());
+    }
+
     // Members send a request again if they can't know whether it arrived.
     @Test
     void thatAreRepeatedAreAnsweredEachTimeAndStoredOnce() {
