Keep at most a quarter of a caller's remaining time for sending the answer

The scheduler was well and refused most of these within 4 ms; others it would have stored.

Cause: callers divide one time limit of 3 s among their tries, so that the last one arrives with some 100 ms left. A member kept 150 ms for sending the answer, and so gave up 1 ms after it had passed the request on.

Change: a member waits for three quarters of the time that is left, and keeps 150 ms at most.

Test: waitsForSchedulersAlsoIfTheCallerHasLittleTimeLeft, UNCERTAIN in place of ACCEPTED with 100 and 140 ms left before; 200 ms passed before, too.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -43,8 +43,14 @@
   /** How long to wait after an append whose outcome is uncertain, before it is repeated. */
   private static final Duration APPEND_RETRY_WAIT = Duration.ofMillis(100);
 
-  /** The part of a caller's time that is kept for sending the answer. */
-  private static final Duration ANSWER_RESERVE = Duration.ofMillis(150);
+  /** The longest part of a caller's time that is kept for sending the answer. */
+  private static final Duration MAXIMUM_ANSWER_RESERVE = Duration.ofMillis(150);
+
+  /**
+   * The part of a caller's remaining time that is kept for sending the answer. Callers that were
+   * refused before return with little time left, often less than {@link #MAXIMUM_ANSWER_RESERVE}.
+   */
+  private static final int ANSWER_RESERVE_DIVISOR = 4;
 
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -213,7 +219,7 @@
     try {
       long number = lastRequestNumber.incrementAndGet();
       OpenRequest openRequest = new OpenRequest(request);
-      CallerAnswer answer = obtainAnswer(number, openRequest, deadline);
+      CallerAnswer answer = obtainAnswer(number, openRequest, answerBy(deadline));
       Duration duration = Duration.ofNanos(System.nanoTime() - startNanos);
       recordAnswer(number, openRequest, answer, duration);
       return answer;
@@ -243,11 +249,23 @@
     context.log().write("answered", request.job().text(), fields);
   }
 
-  private CallerAnswer obtainAnswer(long number, OpenRequest openRequest, Instant deadline) {
+  /**
+   * Returns until when to wait for the answer of a caller with the given deadline. Nearly all of
+   * the caller's time is used, since a caller can't safely repeat a request whose outcome is
+   * uncertain.
+   */
+  private Instant answerBy(Instant deadline) {
+    Duration remaining = Duration.between(context.clock().instant(), deadline);
+    Duration reserve = remaining.dividedBy(ANSWER_RESERVE_DIVISOR);
+    return deadline.minus(
+        reserve.compareTo(MAXIMUM_ANSWER_RESERVE) < 0 ? reserve : MAXIMUM_ANSWER_RESERVE);
+  }
+
+  private CallerAnswer obtainAnswer(long number, OpenRequest openRequest, Instant answerBy) {
     openRequests.put(number, openRequest);
     openRequests.computeIfPresent(number, this::sendToScheduler);
     try {
-      return waitForAnswer(number, openRequest, deadline);
+      return waitForAnswer(number, openRequest, answerBy);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return CallerAnswer.of(Verdict.UNCERTAIN);
@@ -262,16 +280,16 @@
    * members in batches; if each member appended its requests one by one instead, it would overload
    * a store that is merely slow.
    */
-  private CallerAnswer waitForAnswer(long number, OpenRequest openRequest, Instant deadline)
+  private CallerAnswer waitForAnswer(long number, OpenRequest openRequest, Instant answerBy)
       throws InterruptedException {
     boolean storeTried = false;
     while (true) {
       if (openRequest.mayTakeEffect()) {
-        Optional<CallerAnswer> answer = openRequest.awaitAnswer(waitMillis(openRequest, deadline));
+        Optional<CallerAnswer> answer = openRequest.awaitAnswer(waitMillis(openRequest, answerBy));
         if (answer.isPresent()) {
           return answer.get();
         }
-        if (remainingMillis(deadline) <= 1) {
+        if (remainingMillis(answerBy) <= 1) {
           return CallerAnswer.of(Verdict.UNCERTAIN);
         }
         sendAgainIfDue(number);
@@ -334,18 +352,13 @@
         == null;
   }
 
-  private long waitMillis(OpenRequest openRequest, Instant deadline) {
+  private long waitMillis(OpenRequest openRequest, Instant answerBy) {
     Duration wait = openRequest.awaitsScheduler() ? SCHEDULER_ANSWER_WAIT : APPEND_RETRY_WAIT;
-    return Math.min(remainingMillis(deadline), wait.toMillis());
+    return Math.min(remainingMillis(answerBy), wait.toMillis());
   }
 
-  /**
-   * Returns how long to wait at most for the caller's answer. All of the caller's time is used,
-   * since a caller can't safely repeat a request whose outcome is uncertain.
-   */
-  private long remainingMillis(Instant deadline) {
-    Duration remaining = Duration.between(context.clock().instant(), deadline);
-    return Math.max(1, remaining.minus(ANSWER_RESERVE).toMillis());
+  private long remainingMillis(Instant answerBy) {
+    return Math.max(1, Duration.between(context.clock().instant(), answerBy).toMillis());
   }
 
   /** Answers a request from the store alone, or returns empty if that fails. */
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
@@ -32,6 +32,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests the answers to callers while the scheduler is unknown, slow or refuses a request.
@@ -196,6 +197,22 @@
     assertEquals(Verdict.ACCEPTED, answer.verdict());
   }
 
+  // Callers that had been refused before came back with less time than was kept for sending the
+  // answer, and were told that the outcome was uncertain before the scheduler could reply.
+  @ParameterizedTest
+  @ValueSource(longs = {100, 140, 200})
+  void waitsForSchedulersAlsoIfTheCallerHasLittleTimeLeft(long remainingMillis) {
+    scheduler.schedulerKnown = true;
+    scheduler.schedulerSeenRecently = true;
+    scheduler.afterSend =
+        () -> {
+          Threads.pause(10);
+          handler.onSchedulerAnswer(scheduler.sentNumber, CallerAnswer.of(Verdict.ACCEPTED));
+        };
+    CallerAnswer answer = handler.handle(SUBMIT, clock.instant().plusMillis(remainingMillis));
+    assertEquals(Verdict.ACCEPTED, answer.verdict());
+  }
+
   // A cancellation that nobody had got was answered as uncertain.
   @Test
   void refusesCancellationsThatTheStoreRefuses() {
