Leave the first term after an outage of the store to capable members

Small members become candidates once no scheduler has been heard of for 3 s, which gives capable ones the time to replace it; during an outage of the store nobody can.

Change: the 3 s count from the store's return if that is later. A small member whose call was the first one to reach the store again leaves the group at once.

Tests: smallMembersDelayTheirCandidacyAfterAnOutageOfTheStore, and with the loop and a store that returns, smallMembersLeaveTheNextTermToOthersWhenTheStoreReturns, which fails without the time of the return: the member never leaves the group and begins a term.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
+import java.util.List;
 
 /**
  * Decides whether a member is a candidate in the election of the scheduler, begins a term, and
@@ -61,13 +63,20 @@
    *
    * @param now the current time by the local monotonic clock
    * @param schedulerSeenAt when the last heartbeat of a scheduler arrived
+   * @param storeRegainedAt when the store last became available to this member; until then, no
+   *     capable member could replace the scheduler
    * @param leading whether this member is the scheduler
    */
-  boolean isCandidate(Instant now, Instant schedulerSeenAt, boolean leading) {
-    Instant silentSince = schedulerSeenAt.isAfter(startedAt) ? schedulerSeenAt : startedAt;
+  boolean isCandidate(
+      Instant now, Instant schedulerSeenAt, Instant storeRegainedAt, boolean leading) {
+    Instant replaceableSince = latest(startedAt, schedulerSeenAt, storeRegainedAt);
     return hasRequiredProcessors
         || leading
-        || !now.isBefore(silentSince.plus(FALLBACK_CANDIDACY_DELAY));
+        || !now.isBefore(replaceableSince.plus(FALLBACK_CANDIDACY_DELAY));
+  }
+
+  private static Instant latest(Instant... instants) {
+    return Collections.max(List.of(instants));
   }
 
   /**
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -97,6 +97,7 @@
   private boolean joined;
   private long generation;
   private volatile boolean storeAvailable = true;
+  private volatile Instant storeRegainedAt = Instant.MIN;
 
   SchedulerElection(
       MemberContext context,
@@ -320,15 +321,18 @@
 
   private void keepMembership() {
     handOverIfDue();
-    boolean candidate =
-        policy.isCandidate(context.clock().instant(), schedulerSeenAt, activeTerm().isPresent());
-    if (candidate) {
+    if (isCandidate()) {
       joinGroup(false);
     } else if (joined) {
       leaveGroup();
     }
   }
 
+  private boolean isCandidate() {
+    return policy.isCandidate(
+        context.clock().instant(), schedulerSeenAt, storeRegainedAt, activeTerm().isPresent());
+  }
+
   /** Hands over leadership if a better suited member has sent a heartbeat. */
   private void handOverIfDue() {
     Instant now = context.clock().instant();
@@ -375,6 +379,11 @@
     if (assignment.isLeft()) {
       return;
     }
+    if (!isCandidate()) {
+      // The call was the first one to reach the store again; capable members get their chance.
+      leaveGroup();
+      return;
+    }
     activeTerm().ifPresent(SchedulerTerm::onStoreAnswer);
     boolean generationChanged = generation != assignment.get().generation();
     generation = assignment.get().generation();
@@ -400,6 +409,9 @@
     }
     if (result.isRight() != storeAvailable) {
       storeAvailable = result.isRight();
+      if (storeAvailable) {
+        storeRegainedAt = storeAnsweredAt;
+      }
       context
           .log()
           .write(
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionLoopTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionLoopTests.java
@@ -9,6 +9,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -17,6 +19,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicReference;
 import org.hyssopport.protocol.MemberMessage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,6 +37,7 @@
   private final BlockingQueue<MemberMessage> messages = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> groupCalls = new LinkedBlockingQueue<>();
   private volatile boolean peersUnusable;
+  private volatile boolean storeDown;
   private HttpServer store;
   private SchedulerElection election;
 
@@ -46,12 +50,17 @@
     store.createContext("/api/log-leave", exchange -> answerGroupCall(exchange, "leave"));
     store.setExecutor(storeThreads);
     store.start();
+    election = createElection(new MonotonicClock(), 1);
+  }
+
+  private SchedulerElection createElection(InstantSource clock, double processors) {
     MemberContext context =
         MemberContexts.create(
             "127.0.0.1:" + store.getAddress().getPort(),
-            new MonotonicClock(),
-            OutputStream.nullOutputStream());
-    election = new SchedulerElection(context, new RecordingTransport(), (number, answer) -> {});
+            clock,
+            OutputStream.nullOutputStream(),
+            processors);
+    return new SchedulerElection(context, new RecordingTransport(), (number, answer) -> {});
   }
 
   @AfterEach
@@ -93,6 +102,11 @@
 
   private void answerGroupCall(HttpExchange exchange, String call) throws IOException {
     groupCalls.add(call);
+    if (storeDown) {
+      exchange.sendResponseHeaders(503, -1);
+      exchange.close();
+      return;
+    }
     send(exchange, "{\"generation\":1,\"parts\":[[\"scheduler-seats\",0,0]]}");
   }
 
@@ -123,6 +137,27 @@
     assertEquals("leave", List.copyOf(groupCalls).get(groupCalls.size() - 1));
   }
 
+  // A member with a slow link took over after an outage of the store, and read the journal for 11
+  // s.
+  @Test
+  @Timeout(30)
+  void smallMembersLeaveTheNextTermToOthersWhenTheStoreReturns() throws InterruptedException {
+    AtomicReference<Instant> now = new AtomicReference<>(Instant.parse("2026-01-01T00:00:00Z"));
+    election = createElection(now::get, 0.36);
+    now.updateAndGet(start -> start.plus(ElectionPolicy.FALLBACK_CANDIDACY_DELAY));
+    storeDown = true;
+    Threads.start("membership", election::runMembership);
+    assertEquals("join", groupCalls.take());
+    storeDown = false;
+    String call = groupCalls.take();
+    while (call.equals("join")) {
+      call = groupCalls.take();
+    }
+    assertEquals("leave", call);
+    assertEquals(1, termAppendReceived.getCount());
+    election.leave();
+  }
+
   // A record that named no usable address ended the thread that keeps the member in the election.
   @Test
   @Timeout(30)
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
@@ -29,14 +29,33 @@
     Instant schedulerSeenAt = START.plusSeconds(60);
     assertEquals(
         expected,
-        policy.isCandidate(schedulerSeenAt.plusMillis(silentMillis), schedulerSeenAt, leading));
+        policy.isCandidate(
+            schedulerSeenAt.plusMillis(silentMillis), schedulerSeenAt, Instant.MIN, leading));
   }
 
   @Test
   void smallMembersDelayTheirCandidacyAfterTheirStart() {
     ElectionPolicy policy = ElectionPolicy.of(0.36, START);
-    assertFalse(policy.isCandidate(START.plusSeconds(1), Instant.MIN, false));
-    assertTrue(policy.isCandidate(START.plusSeconds(3), Instant.MIN, false));
+    assertFalse(policy.isCandidate(START.plusSeconds(1), Instant.MIN, Instant.MIN, false));
+    assertTrue(policy.isCandidate(START.plusSeconds(3), Instant.MIN, Instant.MIN, false));
+  }
+
+  // After an outage of the store of 7 s, a small member took over as the first one and read the
+  // journal for 11 s.
+  @ParameterizedTest
+  @CsvSource({"0.36, 0, false", "0.36, 2900, false", "0.36, 3000, true", "0.75, 0, true"})
+  void smallMembersDelayTheirCandidacyAfterAnOutageOfTheStore(
+      double processors, long millisSinceOutage, boolean expected) {
+    ElectionPolicy policy = ElectionPolicy.of(processors, START);
+    Instant storeRegainedAt = START.plusSeconds(60);
+    Instant schedulerSeenAt = storeRegainedAt.minusSeconds(7);
+    assertEquals(
+        expected,
+        policy.isCandidate(
+            storeRegainedAt.plusMillis(millisSinceOutage),
+            schedulerSeenAt,
+            storeRegainedAt,
+            false));
   }
 
   @Test
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberContexts.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberContexts.java
@@ -17,13 +17,26 @@
   private MemberContexts() {}
 
   /**
-   * Returns the context of a member.
+   * Returns the context of a member with one core.
    *
    * @param storeAddress the host and port of the store
    * @param clock the local monotonic clock
    * @param logOutput receives the lines of the member's log
    */
   static MemberContext create(String storeAddress, InstantSource clock, OutputStream logOutput) {
+    return create(storeAddress, clock, logOutput, 1);
+  }
+
+  /**
+   * Returns the context of a member.
+   *
+   * @param storeAddress the host and port of the store
+   * @param clock the local monotonic clock
+   * @param logOutput receives the lines of the member's log
+   * @param processors how many cores the member may use
+   */
+  static MemberContext create(
+      String storeAddress, InstantSource clock, OutputStream logOutput, double processors) {
     InstanceSettings settings =
         new InstanceSettings(
             "member",
@@ -33,7 +46,7 @@
             "127.0.0.1:0",
             1,
             0,
-            1,
+            processors,
             storeAddress,
             Optional.empty(),
             Duration.ofSeconds(1),
