Give the scheduler time to reach the store again before it is replaced

A scheduler that has lost the store says so in its heartbeats, and the owner of the partition then begins a term at once.

Change: for 1.2 s after its own return to the store, a member does not replace a scheduler that it hears and that says that it leads. One that is silent or has handed over is replaced as before.

Test: schedulersThatLeadGetTheTimeToReachTheStoreAfterAnOutage. What is known of the scheduler is now one record.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
@@ -34,6 +34,12 @@
    */
   static final Duration MINIMUM_HAND_OVER_INTERVAL = Duration.ofSeconds(10);
 
+  /**
+   * How long after the store's return a scheduler may take to report that it reaches the store: a
+   * call that hangs is given up after 0.9 s, and the next heartbeat is answered within 0.3 s.
+   */
+  static final Duration STORE_REGAIN_TIME = Duration.ofMillis(1200);
+
   private final boolean hasRequiredProcessors;
   private final Instant startedAt;
   private Instant earliestNextHandOver = Instant.MIN;
@@ -79,29 +85,38 @@
     return Collections.max(List.of(instants));
   }
 
+  /**
+   * What this member knows of the scheduler.
+   *
+   * @param seenAt when the last heartbeat of a scheduler arrived
+   * @param leads whether the last word of the scheduler was that it leads
+   * @param reachedStore whether it reported then that the store answers
+   * @param last what is known of the last scheduler that the store names
+   */
+  record SchedulerContact(
+      Instant seenAt, boolean leads, boolean reachedStore, LastSchedulerContact last) {}
+
   /**
    * Returns whether this member, which owns the election partition, may begin a term.
    *
    * <p>A member that has just started has exchanged no heartbeats with the scheduler yet. If the
    * store names a scheduler, the member first waits for its answer, for at most {@link
-   * #SCHEDULER_TIMEOUT} from its start.
+   * #SCHEDULER_TIMEOUT} from its start. When the store returns, this member may reach it before the
+   * scheduler does: it gives a scheduler that leads the same chance.
    *
    * @param now the current time by the local monotonic clock
-   * @param schedulerSeenAt when the last heartbeat of a scheduler arrived
-   * @param schedulerReachedStore whether that heartbeat reported that the store answers
-   * @param lastContact what is known of the last scheduler that the store names
+   * @param contact what is known of the scheduler
+   * @param storeRegainedAt when the store last became available to this member
    */
-  boolean mayBeginTerm(
-      Instant now,
-      Instant schedulerSeenAt,
-      boolean schedulerReachedStore,
-      LastSchedulerContact lastContact) {
-    boolean schedulerWorks =
-        schedulerReachedStore && now.isBefore(schedulerSeenAt.plus(SCHEDULER_TIMEOUT));
+  boolean mayBeginTerm(Instant now, SchedulerContact contact, Instant storeRegainedAt) {
+    boolean alive = now.isBefore(contact.seenAt().plus(SCHEDULER_TIMEOUT));
+    boolean mayReachStoreSoon =
+        contact.leads() && now.isBefore(storeRegainedAt.plus(STORE_REGAIN_TIME));
     boolean mayStillAnswer =
-        lastContact == LastSchedulerContact.NOT_ANSWERED
+        contact.last() == LastSchedulerContact.NOT_ANSWERED
             && now.isBefore(startedAt.plus(SCHEDULER_TIMEOUT));
-    return !schedulerWorks && !mayStillAnswer;
+    boolean works = alive && (contact.reachedStore() || mayReachStoreSoon);
+    return !works && !mayStillAnswer;
   }
 
   /** What is known of the last scheduler that the store names. */
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -399,8 +399,10 @@
   }
 
   private boolean mayBeginTerm() {
-    return policy.mayBeginTerm(
-        context.clock().instant(), schedulerSeenAt, schedulerReachedStore, lastContact());
+    ElectionPolicy.SchedulerContact contact =
+        new ElectionPolicy.SchedulerContact(
+            schedulerSeenAt, schedulerLeads, schedulerReachedStore, lastContact());
+    return policy.mayBeginTerm(context.clock().instant(), contact, storeRegainedAt);
   }
 
   private synchronized void recordStoreAvailability(Either<StoreFailure, ?> result) {
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Instant;
+import org.hyssopport.launcher.cell.ElectionPolicy.LastSchedulerContact;
+import org.hyssopport.launcher.cell.ElectionPolicy.SchedulerContact;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -81,11 +83,11 @@
     "100, ANSWERED, true"
   })
   void membersThatHaveJustStartedWaitForTheLastScheduler(
-      long uptimeMillis, ElectionPolicy.LastSchedulerContact lastContact, boolean expected) {
+      long uptimeMillis, LastSchedulerContact lastContact, boolean expected) {
     ElectionPolicy policy = ElectionPolicy.of(0.75, START);
+    SchedulerContact contact = new SchedulerContact(Instant.MIN, false, false, lastContact);
     assertEquals(
-        expected,
-        policy.mayBeginTerm(START.plusMillis(uptimeMillis), Instant.MIN, false, lastContact));
+        expected, policy.mayBeginTerm(START.plusMillis(uptimeMillis), contact, Instant.MIN));
   }
 
   @ParameterizedTest
@@ -94,12 +96,29 @@
       long silentMillis, boolean schedulerReachedStore, boolean expected) {
     ElectionPolicy policy = ElectionPolicy.of(0.75, START);
     Instant schedulerSeenAt = START.plusSeconds(60);
+    SchedulerContact contact =
+        new SchedulerContact(
+            schedulerSeenAt, true, schedulerReachedStore, LastSchedulerContact.ANSWERED);
     assertEquals(
         expected,
-        policy.mayBeginTerm(
-            schedulerSeenAt.plusMillis(silentMillis),
-            schedulerSeenAt,
-            schedulerReachedStore,
-            ElectionPolicy.LastSchedulerContact.ANSWERED));
+        policy.mayBeginTerm(schedulerSeenAt.plusMillis(silentMillis), contact, Instant.MIN));
+  }
+
+  // The first member that reached the store after an outage deposed a healthy scheduler.
+  @ParameterizedTest
+  @CsvSource({
+    "true, 100, 1199, false",
+    "true, 100, 1200, true",
+    "true, 700, 100, true",
+    "false, 100, 100, true"
+  })
+  void schedulersThatLeadGetTheTimeToReachTheStoreAfterAnOutage(
+      boolean leads, long silentMillis, long millisSinceOutage, boolean expected) {
+    ElectionPolicy policy = ElectionPolicy.of(0.75, START);
+    Instant now = START.plusSeconds(60);
+    SchedulerContact contact =
+        new SchedulerContact(
+            now.minusMillis(silentMillis), leads, false, LastSchedulerContact.ANSWERED);
+    assertEquals(expected, policy.mayBeginTerm(now, contact, now.minusMillis(millisSinceOutage)));
   }
 }
