--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JournalEntry.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JournalEntry.java
@@ -41,6 +41,14 @@
    */
   record Cancelled(JobId job) implements JournalEntry {}
 
+  /**
+   * The definition of an ended job, and its cancellation if there was one, are no longer needed:
+   * only its progress is kept, which names its final state.
+   *
+   * @param job the job
+   */
+  record Archived(JobId job) implements JournalEntry {}
+
   /**
    * A job was forgotten: all stored entries about it are dropped.
    *
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -15,6 +15,7 @@
 import org.hyssopport.engine.job.Job;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
@@ -56,6 +57,7 @@
   private final JournalQueue journal = new JournalQueue();
   private final AdviceDispatcher adviceDispatcher = AdviceDispatcher.create();
   private final JournalRecovery journalRecovery;
+  private final JobRetention retention;
   private final RunManager runManager;
   private final PlacementManager placement;
   private final WorkerPoller poller;
@@ -90,6 +92,7 @@
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
     journalRecovery = new JournalRecovery(context, jobs, workers);
+    retention = new JobRetention(context, jobs, journal);
     runManager = new RunManager(context, jobs, workers, journal);
     placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher);
     poller = new WorkerPoller(context, workers, runManager);
@@ -220,17 +223,7 @@
     context.requestPlacement();
     runManager.resendStops();
     runManager.stopUnreportedStarts();
-    Instant forgetBefore = context.now().minus(context.settings().retention());
-    List<JobId> idsToForget =
-        jobs.all().stream()
-            .filter(job -> job.endedAt().filter(forgetBefore::isAfter).isPresent())
-            .map(Job::id)
-            .toList();
-    idsToForget.forEach(
-        id -> {
-          jobs.remove(id);
-          journal.addForgotten(id);
-        });
+    retention.tick();
   }
 
   private void recover(SchedulerEvent.Recovered recovery) {
@@ -244,7 +237,7 @@
         "recovered",
         "",
         Map.of(
-            "jobs", jobs.all().size(),
+            "jobs", jobs.size(),
             "active", jobs.active().size(),
             "pending", jobs.pendingByQueue().values().stream().mapToInt(Integer::intValue).sum(),
             "workers", recovery.workers().size()));
@@ -304,6 +297,10 @@
 
   private void submit(CallerRequestId caller, JobDefinition definition) {
     Optional<Job> found = jobs.find(definition.id());
+    if (jobs.archivedState(definition.id()).isPresent()) {
+      reply(caller, CallerAnswer.of(Verdict.ACCEPTED));
+      return;
+    }
     if (found.isEmpty() && !storeAvailable) {
       context.logDecision(
           "rejected", definition.id(), Map.of("reason", "journal store is not reachable"));
@@ -369,6 +366,10 @@
       cancellingBeforeStored.computeIfAbsent(id, each -> new ArrayList<>()).add(caller);
       return;
     }
+    if (jobs.archivedState(id).isPresent()) {
+      reply(caller, CallerAnswer.of(Verdict.CANCELLED));
+      return;
+    }
     if (found.isEmpty()) {
       cancelAfterJournalRead(caller, id);
       return;
@@ -439,6 +440,9 @@
    * on its way.
    */
   private void cancelOrRemember(JobId id) {
+    if (jobs.archivedState(id).isPresent()) {
+      return;
+    }
     if (jobs.find(id).filter(Job::acceptanceStored).isEmpty()) {
       rememberCancellation(id);
     }
@@ -464,9 +468,9 @@
   }
 
   private void show(CallerRequestId caller, JobId id) {
-    Optional<Job> found = jobs.find(id);
-    if (found.isPresent()) {
-      reply(caller, CallerAnswer.state(found.get().storedState()));
+    Optional<JobState> state = jobs.find(id).map(Job::storedState).or(() -> jobs.archivedState(id));
+    if (state.isPresent()) {
+      reply(caller, CallerAnswer.state(state.get()));
     } else if (journalReadAt
         .filter(readAt -> context.now().isBefore(readAt.plus(MAXIMUM_JOURNAL_AGE)))
         .isPresent()) {
@@ -487,6 +491,10 @@
 
   private void applyEntryFromOtherMember(JournalEntry entry) {
     if (entry instanceof JournalEntry.Accepted accepted) {
+      if (jobs.archivedState(accepted.job()).isPresent()) {
+        // A member has stored a repeated submission of a job that has ended.
+        return;
+      }
       Optional<Job> found = jobs.find(accepted.job());
       if (found.isEmpty()) {
         jobs.add(journalRecovery.toStoredJob(accepted.definition()));
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobRegistry.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobRegistry.java
@@ -14,11 +14,14 @@
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.job.StepId;
 
-/** The known jobs, with an index of those that have not ended. */
+/** The known jobs, with an index of those that have not ended, and the states of archived ones. */
 final class JobRegistry {
 
   private final Map<JobId, Job> jobs = new HashMap<>();
   private final Map<JobId, Job> active = new LinkedHashMap<>();
+  private final Map<JobId, EndedJob> archived = new HashMap<>();
+  private List<Job> newlyEnded = new ArrayList<>();
+  private List<EndedJob> newlyArchived = new ArrayList<>();
 
   void add(Job job) {
     jobs.put(job.id(), job);
@@ -30,20 +33,48 @@
   void remove(JobId id) {
     jobs.remove(id);
     active.remove(id);
+    archived.remove(id);
+  }
+
+  /** Replaces a job, if it is known, by its final state. */
+  void archive(EndedJob job) {
+    jobs.remove(job.id());
+    active.remove(job.id());
+    archived.put(job.id(), job);
+    newlyArchived.add(job);
+  }
+
+  /** Returns the jobs that have ended since the last call, in the order of their ends. */
+  List<Job> drainEnded() {
+    List<Job> drained = newlyEnded;
+    newlyEnded = new ArrayList<>();
+    return drained;
+  }
+
+  /** Returns the jobs that were archived since the last call, in the order of that. */
+  List<EndedJob> drainArchived() {
+    List<EndedJob> drained = newlyArchived;
+    newlyArchived = new ArrayList<>();
+    return drained;
   }
 
   Optional<Job> find(JobId id) {
     return Optional.ofNullable(jobs.get(id));
   }
 
+  /** Returns the final state of a job whose definition is not known any more. */
+  Optional<JobState> archivedState(JobId id) {
+    return Optional.ofNullable(archived.get(id)).map(EndedJob::state);
+  }
+
   Optional<Step> findStep(StepId id) {
     return find(id.job()).flatMap(job -> job.step(id));
   }
 
   /** Removes a job from the active ones if it has ended. */
   void deactivateIfEnded(Job job) {
-    if (job.isEnded()) {
-      active.remove(job.id());
+    if (job.isEnded() && active.remove(job.id()) != null) {
+      newlyEnded.add(job);
     }
   }
 
@@ -51,8 +82,9 @@
     return active.values();
   }
 
-  Collection<Job> all() {
-    return jobs.values();
+  /** Returns the number of known jobs, with those that have ended. */
+  int size() {
+    return jobs.size() + archived.size();
   }
 
   /** Returns the steps of stored jobs that are ready to run and have tasks to place. */
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalQueue.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalQueue.java
@@ -20,18 +20,21 @@
 final class JournalQueue {
 
   /**
-   * Keeps a batch well below the store's largest append of 2 MB. Jobs beyond the limit wait for the
-   * next batches.
+   * Keeps a batch well below the store's largest append of 2 MB. Removals beyond the limit wait for
+   * the next batches.
    */
-  private static final int MAXIMUM_FORGOTTEN_JOBS = 400;
+  private static final int MAXIMUM_REMOVALS = 400;
 
   private final Map<Job, Continuation> accepted = new LinkedHashMap<>();
   private final Set<Job> progressed = new LinkedHashSet<>();
-  private final Set<JobId> forgotten = new LinkedHashSet<>();
+
+  /** Entries that only remove stored ones. */
+  private final Set<JournalEntry> removals = new LinkedHashSet<>();
+
   private List<Continuation> nextContinuations = new ArrayList<>();
   private List<Continuation> inFlightContinuations = new ArrayList<>();
   private Set<Job> progressedInFlight = Set.of();
-  private Set<JobId> forgottenInFlight = Set.of();
+  private Set<JournalEntry> removalsInFlight = Set.of();
   private boolean batchInFlight;
 
   /**
@@ -52,13 +55,17 @@
     progressed.add(job);
   }
 
+  void addArchived(JobId job) {
+    removals.add(new JournalEntry.Archived(job));
+  }
+
   void addForgotten(JobId job) {
-    forgotten.add(job);
+    removals.add(new JournalEntry.Forgotten(job));
   }
 
   /**
    * Runs an action once all entries added so far are stored; a refusal only delays it. The action
-   * does not wait for forgotten jobs beyond the limit of a batch.
+   * does not wait for removals beyond the limit of a batch.
    */
   void afterStored(Runnable action) {
     nextContinuations.add(new Continuation(action, Optional.empty()));
@@ -74,7 +81,7 @@
    * entries, runs the waiting continuations at once.
    */
   Optional<List<JournalEntry>> startNextBatch() {
-    boolean empty = accepted.isEmpty() && progressed.isEmpty() && forgotten.isEmpty();
+    boolean empty = accepted.isEmpty() && progressed.isEmpty() && removals.isEmpty();
     if (batchInFlight || (empty && nextContinuations.isEmpty())) {
       return Optional.empty();
     }
@@ -85,15 +92,15 @@
     List<JournalEntry> entries = new ArrayList<>();
     accepted.keySet().forEach(job -> entries.add(new JournalEntry.Accepted(job.definition())));
     progressed.forEach(job -> entries.add(new JournalEntry.Progressed(job.progress())));
-    forgottenInFlight = new LinkedHashSet<>();
-    forgotten.stream().limit(MAXIMUM_FORGOTTEN_JOBS).forEach(forgottenInFlight::add);
-    forgottenInFlight.forEach(id -> entries.add(new JournalEntry.Forgotten(id)));
+    removalsInFlight = new LinkedHashSet<>();
+    removals.stream().limit(MAXIMUM_REMOVALS).forEach(removalsInFlight::add);
+    entries.addAll(removalsInFlight);
     progressedInFlight = new LinkedHashSet<>(progressed);
     inFlightContinuations = new ArrayList<>(accepted.values());
     inFlightContinuations.addAll(drainContinuations());
     accepted.clear();
     progressed.clear();
-    forgotten.removeAll(forgottenInFlight);
+    removals.removeAll(removalsInFlight);
     batchInFlight = true;
     return Optional.of(entries);
   }
@@ -117,7 +124,7 @@
   }
 
   /**
-   * Handles a batch that was certainly not stored. Progressed and forgotten jobs go into the next
+   * Handles a batch that was certainly not stored. Progressed jobs and removals go into the next
    * batch, since these changes can't be undone; a new job is left to its refusal action.
    */
   void onBatchRefused() {
@@ -125,7 +132,7 @@
     List<Continuation> continuations = inFlightContinuations;
     inFlightContinuations = new ArrayList<>();
     progressed.addAll(progressedInFlight);
-    forgotten.addAll(forgottenInFlight);
+    removals.addAll(removalsInFlight);
     for (Continuation continuation : continuations) {
       if (continuation.ifRefused().isPresent()) {
         continuation.ifRefused().get().run();
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
@@ -10,6 +10,7 @@
 import org.hyssopport.engine.job.Job;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.job.Task;
@@ -66,12 +67,17 @@
   }
 
   private void restoreProgress(JournalEntry.Progressed entry) {
-    jobs.find(entry.job())
-        .ifPresent(
-            job -> {
-              job.restore(entry.progress(), context.now());
-              jobs.deactivateIfEnded(job);
-            });
+    Optional<Job> found = jobs.find(entry.job());
+    JobState state = entry.progress().state();
+    if (found.isPresent()) {
+      found.get().restore(entry.progress(), context.now());
+      jobs.deactivateIfEnded(found.get());
+    } else if (state.isTerminal()) {
+      jobs.archive(new EndedJob(entry.job(), state, context.now()));
+    } else {
+      context.logDecision(
+          "job left out", entry.job(), Map.of("reason", "journal lacks its definition"));
+    }
   }
 
   /** Accounts for the runs that an earlier scheduler assigned, until their workers report. */
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JobStateCache.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JobStateCache.java
@@ -143,7 +143,11 @@
         continue;
       }
       unreadableKeys.remove(record.key());
-      decoded.get().ifPresentOrElse(this::applyEntry, () -> forget(record.key()));
+      decoded
+          .get()
+          .ifPresentOrElse(
+              this::applyEntry,
+              () -> JournalCodec.forgottenJob(record.key()).ifPresent(states::remove));
     }
   }
 
@@ -159,12 +163,6 @@
     }
   }
 
-  private void forget(String key) {
-    if (!key.isEmpty()) {
-      JobId.parse(key.substring(1)).ifPresent(states::remove);
-    }
-  }
-
   private boolean hasUnreadableRecord(JobId id) {
     return unreadableKeys.stream().anyMatch(key -> key.endsWith(id.text()));
   }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalCodec.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalCodec.java
@@ -34,7 +34,7 @@
 
   private JournalCodec() {}
 
-  /** Returns the records of the entries; the keys of a forgotten job are deleted. */
+  /** Returns the records of the entries; what is no longer needed of a job is deleted. */
   static List<StoreWrite> encode(List<JournalEntry> entries) {
     List<StoreWrite> writes = new ArrayList<>();
     for (JournalEntry entry : entries) {
@@ -46,8 +46,10 @@
       } else if (entry instanceof JournalEntry.Cancelled) {
         writes.add(write(CANCELLED_PREFIX + id, CANCELLED_VALUE));
       } else {
-        for (String prefix : List.of(ACCEPTED_PREFIX, PROGRESSED_PREFIX, CANCELLED_PREFIX)) {
-          writes.add(new StoreWrite(prefix + id, Optional.empty()));
+        writes.add(deletion(ACCEPTED_PREFIX + id));
+        writes.add(deletion(CANCELLED_PREFIX + id));
+        if (entry instanceof JournalEntry.Forgotten) {
+          writes.add(deletion(PROGRESSED_PREFIX + id));
         }
       }
     }
@@ -58,6 +60,17 @@
     return new StoreWrite(key, Optional.of(value));
   }
 
+  private static StoreWrite deletion(String key) {
+    return new StoreWrite(key, Optional.empty());
+  }
+
+  /** Returns the job that a deleted key makes unknown; the other keys of a job are not enough. */
+  static Optional<JobId> forgottenJob(String deletedKey) {
+    return deletedKey.startsWith(PROGRESSED_PREFIX)
+        ? JobId.parse(deletedKey.substring(PROGRESSED_PREFIX.length()))
+        : Optional.empty();
+  }
+
   /** Returns the entry of a record, empty for a deleted key, or why it can't be decoded. */
   static Either<String, Optional<JournalEntry>> decode(StoreRecord record) {
     if (!record.readable()) {
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
@@ -8,16 +8,19 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobProgress;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.job.QueuePolicy;
@@ -48,6 +51,7 @@
   private volatile Instant now = Instant.parse("2026-01-01T00:00:00Z");
   private volatile Duration readingTime = Duration.ZERO;
   private volatile boolean laterReadsFail;
+  private volatile byte[] laterPage = EMPTY_PAGE;
   private final AtomicInteger laterReads = new AtomicInteger();
   private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
   private HttpServer storeServer;
@@ -72,9 +76,10 @@
         exchange -> {
           laterReads.incrementAndGet();
           boolean fails = laterReadsFail;
-          exchange.sendResponseHeaders(fails ? 503 : 200, fails ? -1 : EMPTY_PAGE.length);
+          byte[] page = laterPage;
+          exchange.sendResponseHeaders(fails ? 503 : 200, fails ? -1 : page.length);
           if (!fails) {
-            exchange.getResponseBody().write(EMPTY_PAGE);
+            exchange.getResponseBody().write(page);
           }
           exchange.close();
         });
@@ -127,6 +132,36 @@
     assertEquals(new JobLookup(LookupStatus.KNOWN, Optional.of(JobState.QUEUED)), cache.lookUp(ID));
   }
 
+  /**
+   * Lets the next read return the deletions of an entry, each as its length, the length of its key
+   * and the key, after those that are in the journal.
+   */
+  private void deleteLater(JournalEntry entry) {
+    ByteBuffer page = ByteBuffer.allocate(1000).putLong(items.size()).putLong(0);
+    for (StoreWrite write : JournalCodec.encode(List.of(entry))) {
+      byte[] key = write.key().getBytes(StandardCharsets.UTF_8);
+      page.putInt(1 + key.length).put((byte) key.length).put(key);
+    }
+    laterPage = Arrays.copyOf(page.array(), page.position());
+    now = now.plusSeconds(1);
+  }
+
+  // Guards against taking the deletion of the definition of an ended job for that of the job.
+  @Test
+  void showsTheFinalStateOfArchivedJobs() {
+    addAcceptedJob();
+    JobProgress ended = new JobProgress(ID, JobState.COMPLETE, List.of());
+    for (StoreWrite write : JournalCodec.encode(List.of(new JournalEntry.Progressed(ended)))) {
+      addRecord(write.key(), write.value().orElseThrow());
+    }
+    JobLookup complete = new JobLookup(LookupStatus.KNOWN, Optional.of(JobState.COMPLETE));
+    assertEquals(complete, cache.lookUp(ID));
+    deleteLater(new JournalEntry.Archived(ID));
+    assertEquals(complete, cache.lookUp(ID));
+    deleteLater(new JournalEntry.Forgotten(ID));
+    assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
+  }
+
   @Test
   void showsJobsWithoutRecordsAsAbsent() {
     assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
@@ -96,18 +96,26 @@
     }
     for (JournalEntry entry : entries) {
       log.add(new AppendedEntry(Optional.of(term), entry));
-      if (entry instanceof JournalEntry.Forgotten) {
-        newestEntries.keySet().removeIf(key -> key.endsWith(entry.job().text()));
+      if (entry instanceof JournalEntry.Archived || entry instanceof JournalEntry.Forgotten) {
+        newestEntries.remove(key(JournalEntry.Accepted.class, entry));
+        newestEntries.remove(key(JournalEntry.Cancelled.class, entry));
+        if (entry instanceof JournalEntry.Forgotten) {
+          newestEntries.remove(key(JournalEntry.Progressed.class, entry));
+        }
       } else {
-        newestEntries.put(entry.getClass().getSimpleName() + entry.job().text(), entry);
+        newestEntries.put(key(entry.getClass(), entry), entry);
       }
     }
     return true;
   }
 
+  private static String key(Class<? extends JournalEntry> kind, JournalEntry entry) {
+    return kind.getSimpleName() + entry.job().text();
+  }
+
   /** Appends an entry of a member that does not lead, which no term fences. */
   void appendWithoutTerm(JournalEntry entry) {
-    newestEntries.put(entry.getClass().getSimpleName() + entry.job().text(), entry);
+    newestEntries.put(key(entry.getClass(), entry), entry);
     log.add(new AppendedEntry(Optional.empty(), entry));
   }
 
