--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalWriter.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalWriter.java
@@ -64,7 +64,7 @@
   /**
    * Makes the store reject appends of older terms, by an empty append with this term's number.
    *
-   * @return whether the store confirmed it
+   * @return whether the store confirmed it; false if a newer term has done the same
    */
   boolean fenceOlderTerms() {
     Optional<StoreFailure> failure = context.store().fence(JournalCodec.TOPIC, stamp());
@@ -74,7 +74,7 @@
                 .log()
                 .write(
                     "term not begun: journal not fenced against older terms",
-                    Map.of("detail", reason.detail())));
+                    Map.of("term", term, "detail", reason.detail())));
     return failure.isEmpty();
   }
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -170,6 +170,10 @@
       context.log().write("term not begun: journal or live list not read", Map.of("term", term));
       return false;
     }
+    if (!journalWriter.fenceOlderTerms()) {
+      // Reading took so long that another member has begun a newer term.
+      return false;
+    }
     nextUnreadOffset.set(entries.get().nextOffset());
     incarnations = incarnationsOf(liveWorkers.workers());
     context.log().write("term begun", Map.of("term", term, "journal", entries.get().nextOffset()));
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
@@ -64,28 +64,31 @@
   private final BlockingQueue<String> startOrders = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> messagesToCaller = new LinkedBlockingQueue<>();
   private final HoldableClock clock = new HoldableClock();
+  private volatile boolean fencedWhileReading;
+  private volatile boolean fenced;
   private HttpServer store;
   private SchedulerTerm term;
 
   @BeforeEach
   void begin() throws IOException {
     store = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-    store.createContext(
-        "/api/log-append", exchange -> send(exchange, bytes("{\"offset\":0,\"end\":1}")));
+    store.createContext("/api/log-append", this::answerAppend);
     store.createContext("/api/log-read", this::answerRead);
     store.createContext("/api/log-newest", exchange -> send(exchange, newest(exchange)));
     store.createContext("/api/hold", exchange -> send(exchange, bytes("{\"clockMs\":1000}")));
     store.createContext("/api/run-start", this::answerStart);
     store.setExecutor(storeThreads);
     store.start();
+    clock.hold();
+    term = beginTerm().orElseThrow();
+    begunTerm.complete(term);
+  }
+
+  private Optional<SchedulerTerm> beginTerm() {
     MemberContext context =
         MemberContexts.create(
             "127.0.0.1:" + store.getAddress().getPort(), clock, OutputStream.nullOutputStream());
-    clock.hold();
-    term =
-        SchedulerTerm.begin(context, Set.of(), new AdvisingTransport(), (number, answer) -> {})
-            .orElseThrow();
-    begunTerm.complete(term);
+    return SchedulerTerm.begin(context, Set.of(), new AdvisingTransport(), (number, answer) -> {});
   }
 
   /** Lets the term recover and waits until it has. */
@@ -170,6 +173,18 @@
     return exchange.getRequestURI().getQuery().contains("topic=" + topic + "&");
   }
 
+  private void answerAppend(HttpExchange exchange) throws IOException {
+    if (fenced && exchange.getRequestURI().getQuery().contains("epoch=")) {
+      byte[] body = bytes("{\"reason\":\"fenced\",\"epoch\":9}");
+      exchange.getRequestBody().readAllBytes();
+      exchange.sendResponseHeaders(409, body.length);
+      exchange.getResponseBody().write(body);
+      exchange.close();
+    } else {
+      send(exchange, bytes("{\"offset\":0,\"end\":1}"));
+    }
+  }
+
   /** Answers reads; those of the live list fail. */
   private void answerRead(HttpExchange exchange) throws IOException {
     if (concerns(exchange, JournalCodec.TOPIC)) {
@@ -186,6 +201,7 @@
   }
 
   private byte[] newest(HttpExchange exchange) {
+    fenced = fencedWhileReading;
     String item = concerns(exchange, JournalCodec.TOPIC) ? acceptedJob() : listedWorker();
     return bytes("{\"items\":[" + item + "],\"end\":1}");
   }
@@ -242,6 +258,15 @@
     return record(write.key(), write.value().orElseThrow());
   }
 
+  // A member that had read the journal for 11 s began its term beside the next but one, and polled
+  // the workers until one of them refused that.
+  @Test
+  @Timeout(30)
+  void doesNotBeginIfNewerTermsBeginWhileItReadsTheJournal() {
+    fencedWhileReading = true;
+    assertEquals(Optional.empty(), beginTerm());
+  }
+
   // The gauge of active jobs fell to 0 with each new term, whatever the journal held.
   @Test
   @Timeout(10)
