Append nothing while the store is known to be unavailable

Cause: a request that a scheduler may have taken was appended once even if the store was known to be away; the append got no answer, so that no later refusal could be passed on. And a member with few processors calls the store for the election only while no scheduler is heard of, so that it took the store for available until then.

Change: nothing is appended or looked up while the store is unavailable; a GET is then answered 503 at once. The reads of the configuration, which all members send all the time, tell of the store, too, and do not wait for a record until it has answered again.

Tests: doesNotAppendWhileTheStoreIsUnavailableAndTheSchedulerSilent, UNCERTAIN in place of UNAVAILABLE before; answersAtOnceThatStatesAreUnavailableWithoutSchedulerAndStore, which passed before with a call of the store.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -95,6 +95,7 @@
         new ConfigurationFollower(context.store(), context.log());
     election = new SchedulerElection(context, this, this::deliverAnswer);
     requestHandler = new ForwardingRequestHandler(context, configurationFollower, election);
+    configurationFollower.setReadListener(election::recordStoreAvailability);
     election.setNewSchedulerListener(requestHandler::resendOpenRequests);
     election.setNotTakenListener(requestHandler::onNotTaken);
     peerLink =
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationFollower.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.platform.ConfigurationDecoder;
 import org.hyssopport.platform.MetadataStore;
@@ -31,6 +32,7 @@
   private final DecisionLog log;
   private volatile Optional<CellConfiguration> current = Optional.empty();
   private boolean storeAvailable = true;
+  private volatile Consumer<Either<StoreFailure, StorePage>> readListener = result -> {};
 
   ConfigurationFollower(MetadataStore store, DecisionLog log) {
     this.store = store;
@@ -41,6 +43,11 @@
     return current;
   }
 
+  /** Sets what receives the result of each read, which tells whether the store is available. */
+  void setReadListener(Consumer<Either<StoreFailure, StorePage>> listener) {
+    readListener = listener;
+  }
+
   @Override
   public void run() {
     Optional<Long> nextOffset = Optional.empty();
@@ -48,7 +55,7 @@
       Either<StoreFailure, StorePage> page =
           nextOffset.isEmpty()
               ? store.readNewest(ConfigurationDecoder.TOPIC)
-              : store.read(ConfigurationDecoder.TOPIC, nextOffset.get(), READ_WAIT);
+              : store.read(ConfigurationDecoder.TOPIC, nextOffset.get(), readWait());
       boolean recordsDropped = page.isLeft() && page.getLeft().kind() == StoreFailure.Kind.DROPPED;
       if (recordsDropped && nextOffset.isPresent()) {
         log.write(
@@ -67,7 +74,13 @@
     }
   }
 
+  /** While the store is unavailable, an answer is to tell of its return at once. */
+  private Duration readWait() {
+    return storeAvailable ? READ_WAIT : Duration.ZERO;
+  }
+
   private void recordStoreAvailability(Either<StoreFailure, StorePage> page) {
+    readListener.accept(page);
     if (page.isRight() != storeAvailable) {
       storeAvailable = page.isRight();
       log.write(
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -97,7 +97,7 @@
     /** Returns whether the last heartbeat is recent enough to consider the scheduler alive. */
     boolean schedulerSeenRecently();
 
-    /** Returns whether the store answered when this member last called it for the election. */
+    /** Returns whether the store answered when this member last called it. */
     boolean storeAvailable();
   }
 
@@ -364,8 +364,11 @@
   /** Answers a request from the store alone, or returns empty if that fails. */
   private Optional<CallerAnswer> answerWithoutScheduler(OpenRequest openRequest) {
     CallerRequest request = openRequest.request();
-    if (!openRequest.mayTakeEffect() && !scheduler.storeAvailable()) {
-      return Optional.empty();
+    if (!scheduler.storeAvailable()) {
+      // An append that gets no answer would rule out that the request is refused.
+      return request instanceof CallerRequest.Show
+          ? Optional.of(CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, RETRY_AFTER))
+          : Optional.empty();
     }
     if (request instanceof CallerRequest.Submit submit) {
       return appendWithoutScheduler(
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -405,7 +405,8 @@
     return policy.mayBeginTerm(context.clock().instant(), contact, storeRegainedAt);
   }
 
-  private synchronized void recordStoreAvailability(Either<StoreFailure, ?> result) {
+  /** Records whether the store has answered a call of this member. */
+  synchronized void recordStoreAvailability(Either<StoreFailure, ?> result) {
     if (result.isRight()) {
       storeAnsweredAt = context.clock().instant();
     }
@@ -420,7 +421,7 @@
               storeAvailable ? "dependency regained" : "dependency lost",
               Map.of(
                   "dependency",
-                  "store, for membership",
+                  "store",
                   "detail",
                   result.isLeft() ? result.getLeft().detail() : ""));
     }
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.StreamReadFeature;
@@ -76,7 +77,7 @@
   private static final class StubSchedulerClient
       implements ForwardingRequestHandler.SchedulerClient {
     private volatile boolean schedulerKnown;
-    private boolean storeAvailable = true;
+    private volatile boolean storeAvailable = true;
     private volatile boolean schedulerSeenRecently;
     private int requestsSent;
     private volatile long sentNumber;
@@ -182,6 +183,35 @@
     assertFalse(scheduler.schedulerKnown);
   }
 
+  // A request was called uncertain after an append that could not succeed, although the only
+  // scheduler that had got it refused it.
+  @ParameterizedTest
+  @MethodSource("org.hyssopport.launcher.cell.ForwardingRequestHandlerTests#appendedRequests")
+  void doesNotAppendWhileTheStoreIsUnavailableAndTheSchedulerSilent(CallerRequest request) {
+    scheduler.schedulerKnown = true;
+    scheduler.storeAvailable = false;
+    storeAnswersLost = true;
+    scheduler.afterSend =
+        () -> {
+          scheduler.afterSend = () -> {};
+          Threads.pause(SLOW_ANSWER_MILLIS);
+          for (int sent = scheduler.requestsSent; sent > 0; sent--) {
+            handler.onSchedulerAnswer(scheduler.sentNumber, CallerAnswer.of(Verdict.UNAVAILABLE));
+          }
+        };
+    CallerAnswer answer = handler.handle(request, clock.instant().plusSeconds(3));
+    assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+  }
+
+  @Test
+  void answersAtOnceThatStatesAreUnavailableWithoutSchedulerAndStore() {
+    scheduler.schedulerKnown = true;
+    scheduler.storeAvailable = false;
+    CallerAnswer answer = handler.handle(SHOW, clock.instant().plusSeconds(3));
+    assertEquals(Verdict.UNAVAILABLE, answer.verdict());
+    assertTrue(answer.retryAfter().isPresent());
+  }
+
   // A request that was lost with a connection waited for the whole time of its caller.
   @Test
   void sendsRequestsAgainWhenTheSchedulerDoesNotReply() {
