Go on using workers whose entries expired while the store was away

What callers saw: the entries of workers in the live list expire during an outage of the store. Until then the scheduler placed nothing on them, although it polled them all the time, and forgot those that were idle.

Change: workers whose entries are found deleted after a gap of two reads of the list have lapsed for 2.5 s. Without a gap a deleted entry means what it did.

Tests: CellSchedulerEventTests.WorkersWhoseEntriesHaveLapsed, LiveWorkerCacheTests.WorkersWhoseEntriesAreDeleted; both are about a distinction that did not exist. Not covered: a scheduler whose term begins after the outage, since it has never read the list.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -189,7 +189,7 @@
     } else if (event instanceof SchedulerEvent.JournalRead read) {
       onJournalRead(read.sentAt());
     } else if (event instanceof SchedulerEvent.LiveListReceived liveList) {
-      updateWorkers(liveList.workers());
+      updateWorkers(liveList.workers(), liveList.lapsed());
     } else if (event instanceof SchedulerEvent.WorkerPolled polled) {
       poller.onPollResult(polled);
     } else if (event instanceof SchedulerEvent.OrderFinished order) {
@@ -229,7 +229,7 @@
   private void recover(SchedulerEvent.Recovered recovery) {
     lastStoreAnswerAt = context.now();
     Set<JobId> cancelled = journalRecovery.restoreJobs(recovery.entries());
-    updateWorkers(recovery.workers());
+    updateWorkers(recovery.workers(), Set.of());
     journalRecovery.inheritRuns();
     recovered = true;
     cancelled.forEach(this::cancelOrRemember);
@@ -243,14 +243,20 @@
             "workers", recovery.workers().size()));
   }
 
-  private void updateWorkers(List<WorkerDescription> descriptions) {
+  private void updateWorkers(List<WorkerDescription> descriptions, Set<WorkerId> lapsed) {
     Set<WorkerId> listedIds = new HashSet<>();
     for (WorkerDescription description : descriptions) {
       listedIds.add(description.id());
       updateWorker(description);
     }
     for (TrackedWorker worker : List.copyOf(workers.all())) {
-      if (!listedIds.contains(worker.id())) {
+      if (listedIds.contains(worker.id())) {
+        continue;
+      }
+      if (lapsed.contains(worker.id())) {
+        worker.markLapsed();
+        worker.schedulePollBy(context.now());
+      } else {
         worker.markUnlisted();
         if (worker.runs().isEmpty() && !worker.hasUnstoredEnds()) {
           workers.remove(worker.id());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
@@ -77,8 +77,11 @@
    * The current live list was received.
    *
    * @param workers all workers on the list
+   * @param lapsed the workers whose entries expired while the store was away, and that have had no
+   *     time yet to enter themselves again
    */
-  record LiveListReceived(List<WorkerDescription> workers) implements SchedulerEvent {}
+  record LiveListReceived(List<WorkerDescription> workers, Set<WorkerId> lapsed)
+      implements SchedulerEvent {}
 
   /**
    * A poll of a worker ended, with or without an answer.
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
@@ -30,7 +30,7 @@
   private final WorkerCircuitBreaker circuitBreaker = WorkerCircuitBreaker.create();
   private final Map<RunId, TrackedRun> runs = new LinkedHashMap<>();
   private WorkerDescription description;
-  private boolean listed = true;
+  private LiveListEntry liveListEntry = LiveListEntry.PRESENT;
   private boolean reportReceived;
   private Resources used = Resources.NONE;
   private Optional<WorkerClock> clock = Optional.empty();
@@ -80,17 +80,25 @@
   /** Replaces the description by a newer one of the same incarnation from the live list. */
   public void updateDescription(WorkerDescription newer) {
     description = newer;
-    listed = true;
+    liveListEntry = LiveListEntry.PRESENT;
   }
 
   /** Marks the worker as absent from the live list; it gets no new work. */
   public void markUnlisted() {
-    listed = false;
+    liveListEntry = LiveListEntry.ABSENT;
   }
 
-  /** Returns whether the live list contains the worker. */
+  /**
+   * Marks the worker as one whose entry in the live list has expired while the store was away; it
+   * gets no new work until it sends a report.
+   */
+  public void markLapsed() {
+    liveListEntry = liveListEntry.lapsed();
+  }
+
+  /** Returns whether the live list contains the worker, or did so until the store was away. */
   public boolean listed() {
-    return listed;
+    return liveListEntry != LiveListEntry.ABSENT;
   }
 
   /** Returns whether a report has been received since this scheduler's term began. */
@@ -125,7 +133,7 @@
   /** Returns whether new runs may be placed on the worker. */
   public boolean acceptsWork() {
     return reportReceived
-        && listed
+        && liveListEntry.allowsWork()
         && !description.draining()
         && unansweredPolls < UNANSWERED_POLL_THRESHOLD;
   }
@@ -185,6 +193,7 @@
   /** Records that a report has been received in this scheduler's term. */
   public void markReportReceived() {
     reportReceived = true;
+    liveListEntry = liveListEntry.confirmed();
     updateLeaseExpiry();
   }
 
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -40,6 +40,59 @@
  */
 class CellSchedulerEventTests extends AbstractCellSchedulerTests {
 
+  /** The entries of workers expire while the store is away, also if the workers live. */
+  @Nested
+  class WorkersWhoseEntriesHaveLapsed {
+
+    private static final WorkerId WORKER = new WorkerId("worker");
+
+    private List<SchedulerEffect> answerPoll() {
+      WorkerRunReport report = new WorkerRunReport(1, 1000, List.of(), List.of());
+      return feed(
+          new SchedulerEvent.WorkerPolled(WORKER, 1, now, 0, new PollResult.Reported(report)));
+    }
+
+    private List<SchedulerEffect> submitAndStore() {
+      List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Submit(job())));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
+      return effects;
+    }
+
+    private static boolean containsStart(List<SchedulerEffect> effects) {
+      return effects.stream().anyMatch(SchedulerEffect.Start.class::isInstance);
+    }
+
+    @BeforeEach
+    void lapse() {
+      feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 1)), Set.of()));
+      answerPoll();
+      answerPoll();
+      List<SchedulerEffect> effects =
+          feed(new SchedulerEvent.LiveListReceived(List.of(), Set.of(WORKER)));
+      assertTrue(effects.stream().anyMatch(SchedulerEffect.Poll.class::isInstance));
+    }
+
+    // For 2 s after each outage of the store, no task was started on a worker that lived.
+    @Test
+    void getNewWorkOnceTheyReport() {
+      answerPoll();
+      assertTrue(containsStart(submitAndStore()));
+    }
+
+    @Test
+    void getNoNewWorkBeforeTheyReport() {
+      assertFalse(containsStart(submitAndStore()));
+    }
+
+    @Test
+    void getNoNewWorkIfTheyDoNotEnterThemselvesAgain() {
+      answerPoll();
+      feed(new SchedulerEvent.LiveListReceived(List.of(), Set.of()));
+      assertFalse(containsStart(submitAndStore()));
+    }
+  }
+
   /**
    * Guards against a second run of a task whose start order got no answer: the order may have been
    * carried out, or may still arrive, also at a later incarnation of the worker.
@@ -78,9 +131,9 @@
     void areStoppedOnLaterIncarnationsOfTheirWorker() {
       answerPoll(List.of(new EndedRun(1, RUN, RunEnd.DONE, "")));
       feed(new SchedulerEvent.JournalBatchStored());
-      feed(new SchedulerEvent.LiveListReceived(List.of()));
+      feed(new SchedulerEvent.LiveListReceived(List.of(), Set.of()));
       List<SchedulerEffect> effects =
-          feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 2))));
+          feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 2)), Set.of()));
       assertTrue(containsStop(effects, 2));
     }
 
@@ -90,7 +143,7 @@
 
     @BeforeEach
     void orderStart() {
-      feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 1))));
+      feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 1)), Set.of()));
       answerPoll(List.of());
       request(new CallerRequest.Submit(job()));
       feed(new SchedulerEvent.JournalBatchStored());
@@ -185,7 +238,7 @@
     @Test
     void areResentAtOnce() {
       feed(new SchedulerEvent.MembersChanged(Set.of("member")));
-      feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 1))));
+      feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 1)), Set.of()));
       WorkerRunReport report = new WorkerRunReport(1, 1000, List.of(), List.of());
       feed(new SchedulerEvent.WorkerPolled(WORKER, 1, now, 0, new PollResult.Reported(report)));
       AdvicePolicy advice =
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerOddDataTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerOddDataTests.java
@@ -81,7 +81,7 @@
   @ParameterizedTest
   @CsvSource({"0, 1", "253402300799999, 1", "1000, 9223372036854775000"})
   void workersWithTheLargestNumbersAreUsed(long clock, long firstEnd) {
-    feed(new SchedulerEvent.LiveListReceived(List.of(largestWorker())));
+    feed(new SchedulerEvent.LiveListReceived(List.of(largestWorker()), Set.of()));
     List<RunId> orphans = List.of(run(UNKNOWN, 0, 0, 0), run(UNKNOWN, 0, 0, 1));
     answerPoll(largestWorker(), clock, orphans, List.of(), firstEnd);
     request(new CallerRequest.Submit(job()));
@@ -95,7 +95,7 @@
   @CsvSource({"0, 0, -1", "0, -1, 0", "-1, 0, 0", "0, 0, 2147483647", "0, 0, -2147483648"})
   void runsOfTasksThatDoNotExistHarmNothing(int occurrence, int step, int index) {
     WorkerDescription worker = worker(WORKER, 5);
-    feed(new SchedulerEvent.LiveListReceived(List.of(worker)));
+    feed(new SchedulerEvent.LiveListReceived(List.of(worker), Set.of()));
     answerPoll(worker, 1000, List.of(), List.of(), 1);
     request(new CallerRequest.Submit(job()));
     assertTrue(startsJob());
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/LiveWorkerCache.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/LiveWorkerCache.java
@@ -2,11 +2,17 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.hyssopport.platform.LiveListEntryDecoder;
 import org.hyssopport.platform.MetadataStore;
@@ -22,14 +28,28 @@
  */
 final class LiveWorkerCache {
 
+  /** After two missed reads, entries may have expired because the store was away. */
+  private static final Duration LONGEST_READ_GAP = Duration.ofMillis(1200);
+
+  /**
+   * Workers that live enter themselves again within about 2 s of the store's return; the rest is
+   * for the interval between two reads.
+   */
+  private static final Duration REENTRY_TIME = Duration.ofMillis(2500);
+
   private final MetadataStore store;
   private final DecisionLog log;
+  private final InstantSource clock;
   private final Map<String, WorkerDescription> workers = new HashMap<>();
+  private final Set<WorkerId> lapsed = new HashSet<>();
   private Optional<Long> nextOffset = Optional.empty();
+  private Optional<Instant> readAt = Optional.empty();
+  private Instant reentryUntil = Instant.MIN;
 
-  LiveWorkerCache(MetadataStore store, DecisionLog log) {
+  LiveWorkerCache(MetadataStore store, DecisionLog log, InstantSource clock) {
     this.store = store;
     this.log = log;
+    this.clock = clock;
   }
 
   /**
@@ -47,14 +67,34 @@
       }
       return false;
     }
+    Set<WorkerId> listedBefore = ids();
     if (nextOffset.isEmpty()) {
       workers.clear();
     }
     page.get().records().forEach(this::applyRecord);
     nextOffset = Optional.of(page.get().nextOffset());
+    updateLapsed(listedBefore);
     return true;
   }
 
+  private Set<WorkerId> ids() {
+    return workers.values().stream().map(WorkerDescription::id).collect(Collectors.toSet());
+  }
+
+  private void updateLapsed(Set<WorkerId> listedBefore) {
+    Instant now = clock.instant();
+    if (readAt.filter(at -> now.isAfter(at.plus(LONGEST_READ_GAP))).isPresent()) {
+      reentryUntil = now.plus(REENTRY_TIME);
+    }
+    readAt = Optional.of(now);
+    if (now.isBefore(reentryUntil)) {
+      lapsed.addAll(listedBefore);
+      lapsed.removeAll(ids());
+    } else {
+      lapsed.clear();
+    }
+  }
+
   private void applyRecord(StoreRecord record) {
     if (record.readable() && record.value().isEmpty()) {
       workers.remove(record.key());
@@ -73,6 +113,14 @@
     }
   }
 
+  /**
+   * Returns the workers whose entries expired while the store was away, and that have had no time
+   * yet to enter themselves again.
+   */
+  Set<WorkerId> lapsed() {
+    return Set.copyOf(lapsed);
+  }
+
   /** Returns all workers in the list as of the last read. */
   List<WorkerDescription> workers() {
     return new ArrayList<>(workers.values());
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -124,7 +124,7 @@
     this.scheduler = CellScheduler.create(context.schedulerSettings());
     this.journalWriter =
         new JournalWriter(context, term, nextUnreadOffset, this::enqueue, this::end);
-    this.liveWorkers = new LiveWorkerCache(context.store(), context.log());
+    this.liveWorkers = new LiveWorkerCache(context.store(), context.log(), context.clock());
     this.storeAnsweredAt = context.clock().instant();
   }
 
@@ -593,7 +593,7 @@
       if (liveWorkers.refresh()) {
         List<WorkerDescription> workers = liveWorkers.workers();
         incarnations = incarnationsOf(workers);
-        enqueue(new SchedulerEvent.LiveListReceived(workers));
+        enqueue(new SchedulerEvent.LiveListReceived(workers, liveWorkers.lapsed()));
       }
     } while (!ended && Threads.pause(LIVE_LIST_INTERVAL_MILLIS));
   }
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/LiveWorkerCacheTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/LiveWorkerCacheTests.java
@@ -12,13 +12,20 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.Base64;
 import java.util.List;
+import java.util.Set;
+import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the workers that are known while another writer's entry is in the live list. */
@@ -32,6 +39,9 @@
   private HttpServer metricsServer;
   private MemberContext context;
   private String items = "";
+  private final byte[] laterPage = deletionOf("a");
+  private volatile boolean storeDown;
+  private volatile Instant now = Instant.parse("2026-01-01T00:00:00Z");
 
   @BeforeEach
   void start() throws IOException {
@@ -44,11 +54,20 @@
           exchange.getResponseBody().write(body);
           exchange.close();
         });
+    storeServer.createContext(
+        "/api/log-read",
+        exchange -> {
+          exchange.sendResponseHeaders(storeDown ? 503 : 200, storeDown ? -1 : laterPage.length);
+          if (!storeDown) {
+            exchange.getResponseBody().write(laterPage);
+          }
+          exchange.close();
+        });
     storeServer.start();
     context =
         MemberContexts.create(
             "127.0.0.1:" + storeServer.getAddress().getPort(),
-            new MonotonicClock(),
+            () -> now,
             OutputStream.nullOutputStream());
     metricsServer = context.metrics().startServer("127.0.0.1", 0, Runnable::run);
   }
@@ -59,6 +78,22 @@
     metricsServer.stop(0);
   }
 
+  /** Returns a page that begins at offset 9 and has one record, which deletes a key. */
+  private static byte[] deletionOf(String key) {
+    byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
+    return ByteBuffer.allocate(2 * Long.BYTES + Integer.BYTES + 1 + keyBytes.length)
+        .putLong(10)
+        .putLong(0)
+        .putInt(1 + keyBytes.length)
+        .put((byte) keyBytes.length)
+        .put(keyBytes)
+        .array();
+  }
+
+  private LiveWorkerCache newCache() {
+    return new LiveWorkerCache(context.store(), context.log(), context.clock());
+  }
+
   private static String item(String key, String value, int offset) {
     return "{\"key\":\"" + key + "\",\"value\":\"" + value + "\",\"offset\":" + offset + "}";
   }
@@ -80,7 +115,7 @@
   void holdTheWorkersBesideAnOddEntry(String oddValue) throws IOException, InterruptedException {
     String odd = oddValue.isEmpty() ? "{\"key\":\"b\",\"offset\":2}" : item("b", oddValue, 2);
     items = item("a", base64(ENTRY), 1) + "," + odd + "," + item("c", base64(ENTRY), 3);
-    LiveWorkerCache cache = new LiveWorkerCache(context.store(), context.log());
+    LiveWorkerCache cache = newCache();
     assertTrue(cache.refresh());
     List<String> names =
         cache.workers().stream().map(WorkerDescription::id).map(id -> id.name()).sorted().toList();
@@ -88,4 +123,45 @@
     assertTrue(
         metrics().contains("hyssopport_cell_unreadable_records_total{record=\"live list\"} 1.0"));
   }
+
+  /** Entries expire while the store is away, and workers enter themselves again within 2 s. */
+  @Nested
+  class WorkersWhoseEntriesAreDeleted {
+
+    private LiveWorkerCache cache;
+
+    private void readAfter(long millis) {
+      now = now.plusMillis(millis);
+      assertEquals(!storeDown, cache.refresh());
+    }
+
+    @BeforeEach
+    void readList() {
+      items = item("a", base64(ENTRY), 1);
+      cache = newCache();
+      readAfter(0);
+    }
+
+    @Test
+    void areGoneIfTheStoreWasThereAllTheTime() {
+      readAfter(500);
+      assertEquals(List.of(), cache.workers());
+      assertEquals(Set.of(), cache.lapsed());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, true", "2400, true", "2500, false"})
+    void haveLapsedForSomeTimeIfTheStoreWasAway(long millisAfterReturn, boolean expected) {
+      storeDown = true;
+      readAfter(500);
+      readAfter(500);
+      storeDown = false;
+      readAfter(500);
+      for (long millis = 0; millis < millisAfterReturn; millis += 100) {
+        readAfter(100);
+      }
+      assertEquals(List.of(), cache.workers());
+      assertEquals(expected, cache.lapsed().contains(new WorkerId("a")));
+    }
+  }
 }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -116,7 +116,7 @@
     if (!ended) {
       if (!journal.isDown()) {
         handle(new SchedulerEvent.StoreAnswered());
-        handle(new SchedulerEvent.LiveListReceived(workers.describeLiveWorkers()));
+        handle(new SchedulerEvent.LiveListReceived(workers.describeLiveWorkers(), Set.of()));
       }
       time.afterMillis(LIST_INTERVAL_MILLIS, this::listWorkers);
     }
