Let members that may schedule know the workers before their term begins

Change: the live list is kept by the member and not by its term. Members with the processors for a scheduler read it every 2 s, one call each; a term begins with the workers that are listed and those that have lapsed, polls all, and uses the latter once they report. What counts as an outage is a read that failed, and no longer the time between two.

Tests: getNewWorkFromSchedulersThatTakeOver; the cache's tests as before, with failing reads.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.hyssopport.engine.advice.AdviceDispatcher;
 import org.hyssopport.engine.job.Job;
 import org.hyssopport.engine.job.JobDefinition;
@@ -229,7 +230,8 @@
   private void recover(SchedulerEvent.Recovered recovery) {
     lastStoreAnswerAt = context.now();
     Set<JobId> cancelled = journalRecovery.restoreJobs(recovery.entries());
-    updateWorkers(recovery.workers(), Set.of());
+    recovery.lapsed().forEach(this::updateWorker);
+    updateWorkers(recovery.workers(), idsOf(recovery.lapsed()));
     journalRecovery.inheritRuns();
     recovered = true;
     cancelled.forEach(this::cancelOrRemember);
@@ -240,7 +242,12 @@
             "jobs", jobs.size(),
             "active", jobs.active().size(),
             "pending", jobs.pendingByQueue().values().stream().mapToInt(Integer::intValue).sum(),
-            "workers", recovery.workers().size()));
+            "workers", recovery.workers().size(),
+            "lapsed", recovery.lapsed().size()));
+  }
+
+  private static Set<WorkerId> idsOf(List<WorkerDescription> workers) {
+    return workers.stream().map(WorkerDescription::id).collect(Collectors.toSet());
   }
 
   private void updateWorkers(List<WorkerDescription> descriptions, Set<WorkerId> lapsed) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
@@ -23,9 +23,17 @@
    *
    * @param entries the newest entry of each kind for each job
    * @param workers the workers on the live list
+   * @param lapsed the workers whose entries expired while the store was away
    */
-  record Recovered(List<JournalEntry> entries, List<WorkerDescription> workers)
-      implements SchedulerEvent {}
+  record Recovered(
+      List<JournalEntry> entries, List<WorkerDescription> workers, List<WorkerDescription> lapsed)
+      implements SchedulerEvent {
+
+    /** Returns the event of a term whose live list lacks no entry because of the store. */
+    public static Recovered of(List<JournalEntry> entries, List<WorkerDescription> workers) {
+      return new Recovered(entries, workers, List.of());
+    }
+  }
 
   /** A tick of the scheduler, for work that depends on time alone. */
   record Ticked() implements SchedulerEvent {}
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
@@ -34,7 +34,7 @@
 
   @BeforeEach
   void recover() {
-    feed(new SchedulerEvent.Recovered(List.of(), List.of()));
+    feed(SchedulerEvent.Recovered.of(List.of(), List.of()));
     feed(new SchedulerEvent.JournalRead(NOW));
   }
 
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
@@ -239,7 +239,7 @@
     @Test
     void thatAreStoredBeforeTermsBeginTakeEffectForJobsThatAreStoredLater() {
       scheduler = CellScheduler.create(SETTINGS);
-      feed(new SchedulerEvent.Recovered(List.of(new JournalEntry.Cancelled(ID)), List.of()));
+      feed(SchedulerEvent.Recovered.of(List.of(new JournalEntry.Cancelled(ID)), List.of()));
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
       CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEndedJobTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEndedJobTests.java
@@ -104,7 +104,7 @@
     private void recoverWith(JobState state) {
       JournalEntry end = new JournalEntry.Progressed(new JobProgress(ID, state, List.of()));
       scheduler = CellScheduler.create(SETTINGS);
-      feed(new SchedulerEvent.Recovered(List.of(end), List.of()));
+      feed(SchedulerEvent.Recovered.of(List.of(end), List.of()));
       feed(new SchedulerEvent.JournalRead(now));
     }
 
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -59,6 +59,10 @@
       return effects;
     }
 
+    private List<SchedulerEffect> storeAssignment() {
+      return feed(new SchedulerEvent.JournalBatchStored());
+    }
+
     private static boolean containsStart(List<SchedulerEffect> effects) {
       return effects.stream().anyMatch(SchedulerEffect.Start.class::isInstance);
     }
@@ -85,6 +89,18 @@
       assertFalse(containsStart(submitAndStore()));
     }
 
+    // A scheduler that took over after an outage of the store knew a third of the workers.
+    @Test
+    void getNewWorkFromSchedulersThatTakeOver() {
+      scheduler = CellScheduler.create(SETTINGS);
+      feed(new SchedulerEvent.Recovered(List.of(), List.of(), List.of(worker(WORKER, 1))));
+      feed(new SchedulerEvent.JournalRead(now));
+      assertFalse(containsStart(submitAndStore()));
+      answerPoll();
+      feed(new SchedulerEvent.Ticked());
+      assertTrue(containsStart(storeAssignment()));
+    }
+
     @Test
     void getNoNewWorkIfTheyDoNotEnterThemselvesAgain() {
       answerPoll();
@@ -277,7 +293,7 @@
     void inheritSecondRun() {
       TaskProgress progress = new TaskProgress(0, 0, 0, false, 2, 0, Optional.of(ASSIGNED), 1, "");
       feed(
-          new SchedulerEvent.Recovered(
+          SchedulerEvent.Recovered.of(
               List.of(
                   new JournalEntry.Accepted(job()),
                   new JournalEntry.Progressed(
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -118,6 +118,7 @@
     Threads.start("configuration", configurationFollower);
     Threads.start("membership", election::runMembership);
     Threads.start("presence", election::runHeartbeats);
+    Threads.start("live-list", election::runLiveList);
     ExecutorService callerExecutor =
         Threads.bounded("callers", CALLER_THREADS, REQUEST_QUEUE_CAPACITY);
     ExecutorService operatorExecutor =
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
@@ -148,7 +148,7 @@
             "rack",
             false);
     Instant now = Instant.now();
-    handleEvent(scheduler, now, new SchedulerEvent.Recovered(List.of(), List.of(worker)));
+    handleEvent(scheduler, now, SchedulerEvent.Recovered.of(List.of(), List.of(worker)));
     handleEvent(scheduler, now, new SchedulerEvent.MembersChanged(Set.of("member")));
     PollResult report = new PollResult.Reported(new WorkerRunReport(1, 1000, List.of(), List.of()));
     handleEvent(scheduler, now, new SchedulerEvent.WorkerPolled(worker.id(), 1, now, 0, report));
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/LiveWorkerCache.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/LiveWorkerCache.java
@@ -6,12 +6,10 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.hyssopport.platform.LiveListEntryDecoder;
@@ -23,14 +21,11 @@
 /**
  * Caches the live list, in which workers describe themselves in the store.
  *
- * <p>Not thread-safe: {@link SchedulerTerm} uses it while the term begins, and then only on its
- * thread "live-list".
+ * <p>Outlives the terms of its member: a member that may become the scheduler knows the workers
+ * whose entries expire while the store is away.
  */
 final class LiveWorkerCache {
 
-  /** After two missed reads, entries may have expired because the store was away. */
-  private static final Duration LONGEST_READ_GAP = Duration.ofMillis(1200);
-
   /**
    * Workers that live enter themselves again within about 2 s of the store's return; the rest is
    * for the interval between two reads.
@@ -41,9 +36,9 @@
   private final DecisionLog log;
   private final InstantSource clock;
   private final Map<String, WorkerDescription> workers = new HashMap<>();
-  private final Set<WorkerId> lapsed = new HashSet<>();
+  private final Map<String, WorkerDescription> lapsed = new HashMap<>();
   private Optional<Long> nextOffset = Optional.empty();
-  private Optional<Instant> readAt = Optional.empty();
+  private boolean readFailed;
   private Instant reentryUntil = Instant.MIN;
 
   LiveWorkerCache(MetadataStore store, DecisionLog log, InstantSource clock) {
@@ -56,7 +51,7 @@
    * Reads the changes since the last call; returns false if they could not be read. If the store
    * has dropped unread changes, the next call reads the whole list.
    */
-  boolean refresh() {
+  synchronized boolean refresh() {
     Either<StoreFailure, StorePage> page =
         nextOffset.isEmpty()
             ? store.readNewest(LiveListEntryDecoder.TOPIC)
@@ -65,9 +60,10 @@
       if (page.getLeft().kind() == StoreFailure.Kind.DROPPED) {
         nextOffset = Optional.empty();
       }
+      readFailed = true;
       return false;
     }
-    Set<WorkerId> listedBefore = ids();
+    Map<String, WorkerDescription> listedBefore = Map.copyOf(workers);
     if (nextOffset.isEmpty()) {
       workers.clear();
     }
@@ -77,19 +73,15 @@
     return true;
   }
 
-  private Set<WorkerId> ids() {
-    return workers.values().stream().map(WorkerDescription::id).collect(Collectors.toSet());
-  }
-
-  private void updateLapsed(Set<WorkerId> listedBefore) {
+  private void updateLapsed(Map<String, WorkerDescription> listedBefore) {
     Instant now = clock.instant();
-    if (readAt.filter(at -> now.isAfter(at.plus(LONGEST_READ_GAP))).isPresent()) {
+    if (readFailed) {
+      readFailed = false;
       reentryUntil = now.plus(REENTRY_TIME);
     }
-    readAt = Optional.of(now);
     if (now.isBefore(reentryUntil)) {
-      lapsed.addAll(listedBefore);
-      lapsed.removeAll(ids());
+      lapsed.putAll(listedBefore);
+      lapsed.keySet().removeAll(workers.keySet());
     } else {
       lapsed.clear();
     }
@@ -117,12 +109,20 @@
    * Returns the workers whose entries expired while the store was away, and that have had no time
    * yet to enter themselves again.
    */
-  Set<WorkerId> lapsed() {
-    return Set.copyOf(lapsed);
+  synchronized List<WorkerDescription> lapsed() {
+    return new ArrayList<>(lapsed.values());
+  }
+
+  /** Returns the incarnation of each worker that is listed or has lapsed. */
+  synchronized Map<WorkerId, Long> incarnations() {
+    Map<WorkerId, Long> incarnations = new HashMap<>();
+    Stream.concat(lapsed.values().stream(), workers.values().stream())
+        .forEach(worker -> incarnations.put(worker.id(), worker.incarnation()));
+    return incarnations;
   }
 
   /** Returns all workers in the list as of the last read. */
-  List<WorkerDescription> workers() {
+  synchronized List<WorkerDescription> workers() {
     return new ArrayList<>(workers.values());
   }
 }
--- /dev/null
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OrderSender.java
@@ -0,0 +1,107 @@
+package org.hyssopport.launcher.cell;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.hyssopport.engine.scheduler.OrderResult;
+import org.hyssopport.engine.scheduler.SchedulerEffect;
+import org.hyssopport.engine.scheduler.SchedulerEvent;
+import org.hyssopport.engine.worker.RunId;
+import org.hyssopport.engine.worker.WorkerDescription;
+import org.hyssopport.platform.WorkerGateway;
+
+/**
+ * Sends the start and stop orders of one term to workers, on threads that all terms of a member
+ * share, and reports their results to the scheduler.
+ */
+final class OrderSender {
+
+  private final MemberContext context;
+  private final long term;
+  private final BooleanSupplier termEnded;
+  private final Consumer<SchedulerEvent> eventSink;
+
+  /**
+   * Creates the sender of a term.
+   *
+   * @param context what the components of the member share
+   * @param term the term, which workers compare with the newest one that they have seen
+   * @param termEnded returns whether the term has ended; from then on no order is sent
+   * @param eventSink receives the results
+   */
+  OrderSender(
+      MemberContext context,
+      long term,
+      BooleanSupplier termEnded,
+      Consumer<SchedulerEvent> eventSink) {
+    this.context = context;
+    this.term = term;
+    this.termEnded = termEnded;
+    this.eventSink = eventSink;
+  }
+
+  void send(SchedulerEffect.Start start) {
+    submit(start.worker(), start.run(), true, () -> context.workerGateway().start(start, term));
+  }
+
+  void send(SchedulerEffect.Stop stop) {
+    submit(stop.worker(), stop.run(), false, () -> context.workerGateway().stop(stop, term));
+  }
+
+  /** A call that orders a worker to start or stop a run. */
+  private interface Order {
+    WorkerGateway.OrderAnswer send();
+  }
+
+  private void submit(WorkerDescription worker, RunId run, boolean isStart, Order order) {
+    try {
+      context.orderExecutor().execute(() -> sendNow(worker, run, isStart, order));
+    } catch (RejectedExecutionException e) {
+      context
+          .log()
+          .write("order to a worker not sent", run.task().toString(), Map.of("reason", "overload"));
+      report(
+          worker,
+          run,
+          isStart,
+          new WorkerGateway.OrderAnswer(OrderResult.NOT_SENT, Optional.empty()));
+    }
+  }
+
+  private void sendNow(WorkerDescription worker, RunId run, boolean isStart, Order order) {
+    if (termEnded.getAsBoolean()) {
+      return;
+    }
+    long startNanos = System.nanoTime();
+    WorkerGateway.OrderAnswer answer = order.send();
+    context
+        .metrics()
+        .recordOrder(
+            isStart ? "start" : "stop",
+            answer.result().name(),
+            (System.nanoTime() - startNanos) / 1e9);
+    if (answer.result() != OrderResult.DONE) {
+      context
+          .log()
+          .write(
+              isStart ? "start not confirmed" : "stop not confirmed",
+              run.task().toString(),
+              Map.of("run", run.number(), "worker", worker.id(), "result", answer.result()));
+    }
+    report(worker, run, isStart, answer);
+  }
+
+  private void report(
+      WorkerDescription worker, RunId run, boolean isStart, WorkerGateway.OrderAnswer answer) {
+    eventSink.accept(
+        new SchedulerEvent.OrderFinished(
+            worker.id(),
+            worker.incarnation(),
+            run,
+            isStart,
+            answer.result(),
+            answer.clockMillis()));
+  }
+}
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -49,6 +49,9 @@
 
   private static final long HEARTBEAT_INTERVAL_MILLIS = 200;
 
+  /** Less than half of the time without the store after which the entries of workers expire. */
+  private static final long STANDBY_LIVE_LIST_INTERVAL_MILLIS = 2000;
+
   /**
    * How long a scheduler may go without an answer of the store before another member takes over:
    * two missed reads of the journal, which are 250 ms apart, and the time of an answer.
@@ -87,6 +90,7 @@
   private volatile Runnable newSchedulerListener = () -> {};
   private volatile LongConsumer notTakenListener = number -> {};
   private final ElectionPolicy policy;
+  private final LiveWorkerCache liveWorkers;
   private final NotTakenRequests notTakenRequests;
 
   /** Orders the announcement of a term and its hand-over, also if the member leaves meanwhile. */
@@ -109,6 +113,7 @@
     this.selfAddress = context.settings().peerAddress();
     this.startedAt = context.clock().instant().truncatedTo(ChronoUnit.MILLIS);
     this.notTakenRequests = new NotTakenRequests(context);
+    this.liveWorkers = new LiveWorkerCache(context.store(), context.log(), context.clock());
     this.policy = ElectionPolicy.of(context.settings().processors(), startedAt);
   }
 
@@ -429,7 +434,7 @@
 
   private void beginTerm() {
     Optional<SchedulerTerm> begun =
-        SchedulerTerm.begin(context, memberAddresses, transport, localAnswerSink);
+        SchedulerTerm.begin(context, liveWorkers, memberAddresses, transport, localAnswerSink);
     begun.ifPresent(this::takeOver);
   }
 
@@ -487,6 +492,17 @@
     notTakenListener = listener;
   }
 
+  /**
+   * Keeps the live list known while this member may become the scheduler; a term reads it itself.
+   */
+  void runLiveList() {
+    while (policy.hasRequiredProcessors() && Threads.pause(STANDBY_LIVE_LIST_INTERVAL_MILLIS)) {
+      if (activeTerm().isEmpty()) {
+        Threads.runRound("live-list", liveWorkers::refresh);
+      }
+    }
+  }
+
   /**
    * Sends heartbeats to the scheduler; if it is silent, reconnects to it and reads its address from
    * the store again.
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -13,26 +13,23 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
+import java.util.stream.Collectors;
 import org.hyssopport.engine.advice.Ticket;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.engine.scheduler.CallerRequestId;
 import org.hyssopport.engine.scheduler.CellScheduler;
-import org.hyssopport.engine.scheduler.OrderResult;
 import org.hyssopport.engine.scheduler.PollResult;
 import org.hyssopport.engine.scheduler.SchedulerEffect;
 import org.hyssopport.engine.scheduler.SchedulerEvent;
-import org.hyssopport.engine.worker.RunId;
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.hyssopport.launcher.BoundedQueue;
 import org.hyssopport.platform.StoreFailure;
 import org.hyssopport.platform.StorePage;
 import org.hyssopport.platform.StoreWrite;
-import org.hyssopport.platform.WorkerGateway;
 import org.hyssopport.protocol.MemberMessage;
 
 /**
@@ -83,6 +80,7 @@
   private final Object requestLock = new Object();
   private final AtomicLong nextUnreadOffset = new AtomicLong();
   private final JournalWriter journalWriter;
+  private final OrderSender orderSender;
   private final LiveWorkerCache liveWorkers;
   private final Map<String, Instant> memberLastSeen = new ConcurrentHashMap<>();
   private final Set<String> leavingMembers = ConcurrentHashMap.newKeySet();
@@ -111,6 +109,7 @@
   private SchedulerTerm(
       MemberContext context,
       long term,
+      LiveWorkerCache liveWorkers,
       Set<String> inheritedMembers,
       MemberTransport transport,
       BiConsumer<Long, CallerAnswer> localAnswerSink) {
@@ -124,7 +123,8 @@
     this.scheduler = CellScheduler.create(context.schedulerSettings());
     this.journalWriter =
         new JournalWriter(context, term, nextUnreadOffset, this::enqueue, this::end);
-    this.liveWorkers = new LiveWorkerCache(context.store(), context.log(), context.clock());
+    this.orderSender = new OrderSender(context, term, this::ended, this::enqueue);
+    this.liveWorkers = liveWorkers;
     this.storeAnsweredAt = context.clock().instant();
   }
 
@@ -132,6 +132,7 @@
    * Begins a term: records it in the store, fences older terms and reads the journal.
    *
    * @param context what the components of the member share
+   * @param liveWorkers what the member knows of the live list
    * @param inheritedMembers the addresses of the members that the last scheduler listed
    * @param transport sends messages to members
    * @param localAnswerSink receives the answers to requests that this member's callers sent
@@ -139,6 +140,7 @@
    */
   static Optional<SchedulerTerm> begin(
       MemberContext context,
+      LiveWorkerCache liveWorkers,
       Set<String> inheritedMembers,
       MemberTransport transport,
       BiConsumer<Long, CallerAnswer> localAnswerSink) {
@@ -156,7 +158,8 @@
       return Optional.empty();
     }
     SchedulerTerm newTerm =
-        new SchedulerTerm(context, offset.get() + 1, inheritedMembers, transport, localAnswerSink);
+        new SchedulerTerm(
+            context, offset.get() + 1, liveWorkers, inheritedMembers, transport, localAnswerSink);
     return newTerm.recover() ? Optional.of(newTerm) : Optional.empty();
   }
 
@@ -175,11 +178,13 @@
       return false;
     }
     nextUnreadOffset.set(entries.get().nextOffset());
-    incarnations = incarnationsOf(liveWorkers.workers());
+    incarnations = liveWorkers.incarnations();
     context.log().write("term begun", Map.of("term", term, "journal", entries.get().nextOffset()));
     eventQueue.put(
         new SchedulerEvent.Recovered(
-            JournalCodec.decodeAll(entries.get().records(), context.log()), liveWorkers.workers()));
+            JournalCodec.decodeAll(entries.get().records(), context.log()),
+            liveWorkers.workers(),
+            liveWorkers.lapsed()));
     eventQueue.put(new SchedulerEvent.JournalRead(sentAt));
     startThread("scheduler", this::runUntilEnded);
     startThread("journal-writer", journalWriter::run);
@@ -295,10 +300,8 @@
     return tickets;
   }
 
-  private static Map<WorkerId, Long> incarnationsOf(List<WorkerDescription> workers) {
-    Map<WorkerId, Long> listedIncarnations = new HashMap<>();
-    workers.forEach(worker -> listedIncarnations.put(worker.id(), worker.incarnation()));
-    return listedIncarnations;
+  private static Set<WorkerId> idsOf(List<WorkerDescription> workers) {
+    return workers.stream().map(WorkerDescription::id).collect(Collectors.toSet());
   }
 
   /**
@@ -443,10 +446,9 @@
     } else if (effect instanceof SchedulerEffect.Poll poll) {
       context.pollExecutor().execute(() -> poll(poll));
     } else if (effect instanceof SchedulerEffect.Start start) {
-      submitOrder(
-          start.worker(), start.run(), true, () -> context.workerGateway().start(start, term));
+      orderSender.send(start);
     } else if (effect instanceof SchedulerEffect.Stop stop) {
-      submitOrder(stop.worker(), stop.run(), false, () -> context.workerGateway().stop(stop, term));
+      orderSender.send(stop);
     } else if (effect instanceof SchedulerEffect.RequestAdvice advise) {
       long timeoutMillis = advise.call().expectedDuration().toMillis() + ADVICE_ALLOWANCE_MILLIS;
       transport.send(
@@ -488,61 +490,6 @@
             worker.id(), worker.incarnation(), sentAt, poll.acknowledgeUpTo(), result));
   }
 
-  /** A call that orders a worker to start or stop a run. */
-  private interface Order {
-    WorkerGateway.OrderAnswer send();
-  }
-
-  private void submitOrder(WorkerDescription worker, RunId run, boolean isStart, Order order) {
-    try {
-      context.orderExecutor().execute(() -> sendOrder(worker, run, isStart, order));
-    } catch (RejectedExecutionException e) {
-      context
-          .log()
-          .write("order to a worker not sent", run.task().toString(), Map.of("reason", "overload"));
-      enqueueOrderAnswer(
-          worker,
-          run,
-          isStart,
-          new WorkerGateway.OrderAnswer(OrderResult.NOT_SENT, Optional.empty()));
-    }
-  }
-
-  private void sendOrder(WorkerDescription worker, RunId run, boolean isStart, Order order) {
-    if (ended) {
-      return;
-    }
-    long startNanos = System.nanoTime();
-    WorkerGateway.OrderAnswer answer = order.send();
-    context
-        .metrics()
-        .recordOrder(
-            isStart ? "start" : "stop",
-            answer.result().name(),
-            (System.nanoTime() - startNanos) / 1e9);
-    if (answer.result() != OrderResult.DONE) {
-      context
-          .log()
-          .write(
-              isStart ? "start not confirmed" : "stop not confirmed",
-              run.task().toString(),
-              Map.of("run", run.number(), "worker", worker.id(), "result", answer.result()));
-    }
-    enqueueOrderAnswer(worker, run, isStart, answer);
-  }
-
-  private void enqueueOrderAnswer(
-      WorkerDescription worker, RunId run, boolean isStart, WorkerGateway.OrderAnswer answer) {
-    enqueue(
-        new SchedulerEvent.OrderFinished(
-            worker.id(),
-            worker.incarnation(),
-            run,
-            isStart,
-            answer.result(),
-            answer.clockMillis()));
-  }
-
   private void followJournal() {
     boolean readable = true;
     while (!ended && Threads.pause(JOURNAL_READ_INTERVAL_MILLIS)) {
@@ -592,8 +539,8 @@
     do {
       if (liveWorkers.refresh()) {
         List<WorkerDescription> workers = liveWorkers.workers();
-        incarnations = incarnationsOf(workers);
-        enqueue(new SchedulerEvent.LiveListReceived(workers, liveWorkers.lapsed()));
+        incarnations = liveWorkers.incarnations();
+        enqueue(new SchedulerEvent.LiveListReceived(workers, idsOf(liveWorkers.lapsed())));
       }
     } while (!ended && Threads.pause(LIVE_LIST_INTERVAL_MILLIS));
   }
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/LiveWorkerCacheTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/LiveWorkerCacheTests.java
@@ -17,8 +17,6 @@
 import java.time.Instant;
 import java.util.Base64;
 import java.util.List;
-import java.util.Set;
-import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -146,7 +144,7 @@
     void areGoneIfTheStoreWasThereAllTheTime() {
       readAfter(500);
       assertEquals(List.of(), cache.workers());
-      assertEquals(Set.of(), cache.lapsed());
+      assertEquals(List.of(), cache.lapsed());
     }
 
     @ParameterizedTest
@@ -161,7 +159,8 @@
         readAfter(100);
       }
       assertEquals(List.of(), cache.workers());
-      assertEquals(expected, cache.lapsed().contains(new WorkerId("a")));
+      List<String> names = cache.lapsed().stream().map(worker -> worker.id().name()).toList();
+      assertEquals(expected ? List.of("a") : List.of(), names);
     }
   }
 }
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
@@ -88,7 +88,10 @@
     MemberContext context =
         MemberContexts.create(
             "127.0.0.1:" + store.getAddress().getPort(), clock, OutputStream.nullOutputStream());
-    return SchedulerTerm.begin(context, Set.of(), new AdvisingTransport(), (number, answer) -> {});
+    LiveWorkerCache liveWorkers =
+        new LiveWorkerCache(context.store(), context.log(), context.clock());
+    return SchedulerTerm.begin(
+        context, liveWorkers, Set.of(), new AdvisingTransport(), (number, answer) -> {});
   }
 
   /** Lets the term recover and waits until it has. */
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -81,7 +81,7 @@
   void begin() {
     journal.fence(term);
     nextUnreadOffset = journal.endOffset();
-    handle(new SchedulerEvent.Recovered(journal.entries(), workers.describeLiveWorkers()));
+    handle(SchedulerEvent.Recovered.of(journal.entries(), workers.describeLiveWorkers()));
     handle(new SchedulerEvent.JournalRead(time.now()));
     Set<String> names = new HashSet<>();
     for (int number = 0; number < memberCount; number++) {
