Wait for the next scheduler, and share the appends of a member without one

Cause: without a scheduler, each member appends the requests of its callers one by one.

Change: for 1.5 s after the loss of the scheduler is known, requests that no scheduler was sent wait for the next one, if their callers have the time; nothing would run earlier if they were stored. A request that waits 0.3 s for its turn looks for a scheduler again. If the store is away, requests are refused at once as before.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
@@ -25,6 +25,9 @@
    */
   static final double REQUIRED_PROCESSORS = 0.7;
 
+  /** How long a capable member takes to replace a scheduler whose loss is known. */
+  static final Duration USUAL_TAKE_OVER_TIME = Duration.ofMillis(1500);
+
   /** Twice the time that a capable member takes to replace a scheduler that died. */
   static final Duration FALLBACK_CANDIDACY_DELAY = Duration.ofSeconds(3);
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -40,6 +39,15 @@
   /** How long to wait for an answer before checking whether the scheduler is still alive. */
   private static final Duration SCHEDULER_ANSWER_WAIT = Duration.ofMillis(700);
 
+  /** How long a request waits for the next scheduler before that is checked again. */
+  private static final Duration NEXT_SCHEDULER_WAIT = Duration.ofMillis(100);
+
+  /** The part of a caller's time that is kept for an append without a scheduler. */
+  private static final Duration APPEND_RESERVE = Duration.ofMillis(1200);
+
+  /** How long an entry waits for those before it, until a scheduler is looked for again. */
+  private static final Duration APPEND_QUEUE_WAIT = Duration.ofMillis(300);
+
   /** How long to wait after an append whose outcome is uncertain, before it is repeated. */
   private static final Duration APPEND_RETRY_WAIT = Duration.ofMillis(100);
 
@@ -58,6 +66,7 @@
   private final ConfigurationFollower configurationFollower;
   private final SchedulerClient scheduler;
   private final JobStateCache jobStates;
+  private final MemberAppends appends;
   private final long numbersBegin = wallClockNanos();
   private final AtomicLong lastRequestNumber = new AtomicLong(numbersBegin);
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -72,6 +81,7 @@
     this.configurationFollower = configurationFollower;
     this.scheduler = scheduler;
     this.jobStates = new JobStateCache(context);
+    this.appends = new MemberAppends(context);
   }
 
   private static long wallClockNanos() {
@@ -97,6 +107,12 @@
     /** Returns whether the last heartbeat is recent enough to consider the scheduler alive. */
     boolean schedulerSeenRecently();
 
+    /**
+     * Returns whether the scheduler was lost so recently that the next one is likely to begin its
+     * term in time.
+     */
+    boolean nextSchedulerExpected();
+
     /** Returns whether the store answered when this member last called it. */
     boolean storeAvailable();
   }
@@ -275,28 +291,36 @@
   }
 
   /**
-   * Waits for the scheduler's answer while the scheduler is alive, and answers the request from the
-   * store if it was sent to none or all have returned it. The scheduler appends the requests of all
-   * members in batches; if each member appended its requests one by one instead, it would overload
-   * a store that is merely slow.
+   * Waits for the scheduler's answer while the scheduler is alive or the next one is about to
+   * begin, and answers the request from the store if it was sent to none or all have returned it.
+   * The scheduler appends the requests of all members in batches; if each member appended its
+   * requests instead, it would overload a store that is merely slow.
    */
   private CallerAnswer waitForAnswer(long number, OpenRequest openRequest, Instant answerBy)
       throws InterruptedException {
     boolean storeTried = false;
     while (true) {
-      if (openRequest.mayTakeEffect()) {
-        Optional<CallerAnswer> answer = openRequest.awaitAnswer(waitMillis(openRequest, answerBy));
+      boolean held = isHeld(openRequest, answerBy);
+      if (held || openRequest.mayTakeEffect()) {
+        Duration wait = held ? NEXT_SCHEDULER_WAIT : replyWait(openRequest);
+        Optional<CallerAnswer> answer =
+            openRequest.awaitAnswer(Math.min(remainingMillis(answerBy), wait.toMillis()));
         if (answer.isPresent()) {
           return answer.get();
         }
         if (remainingMillis(answerBy) <= 1) {
           return CallerAnswer.of(Verdict.UNCERTAIN);
         }
-        sendAgainIfDue(number);
+        if (held) {
+          openRequests.computeIfPresent(number, this::sendIfNoReplyIsDue);
+        } else {
+          sendAgainIfDue(number);
+        }
       }
-      if (!storeTried || scheduler.storeAvailable() || !openRequest.mayTakeEffect()) {
+      boolean storeDue = !storeTried || scheduler.storeAvailable() || !openRequest.mayTakeEffect();
+      if (storeDue && !isHeld(openRequest, answerBy)) {
         storeTried = true;
-        Optional<CallerAnswer> answer = answerIfSchedulerIsGone(number, openRequest);
+        Optional<CallerAnswer> answer = answerIfSchedulerIsGone(number, openRequest, answerBy);
         if (answer.isPresent()) {
           return answer.get();
         }
@@ -304,20 +328,37 @@
     }
   }
 
+  /**
+   * Returns whether a request that no scheduler has been sent waits for the next one: until that
+   * begins, nothing runs that this member could store.
+   */
+  private boolean isHeld(OpenRequest openRequest, Instant answerBy) {
+    return !openRequest.mayTakeEffect()
+        && scheduler.nextSchedulerExpected()
+        && scheduler.storeAvailable()
+        && context.clock().instant().isBefore(answerBy.minus(APPEND_RESERVE));
+  }
+
+  private static Duration replyWait(OpenRequest openRequest) {
+    return openRequest.awaitsScheduler() ? SCHEDULER_ANSWER_WAIT : APPEND_RETRY_WAIT;
+  }
+
   /**
    * Answers a request from the store, or refuses it, if no scheduler owes a reply or the scheduler
    * is silent. Returns empty if neither is possible now.
    */
-  private Optional<CallerAnswer> answerIfSchedulerIsGone(long number, OpenRequest openRequest) {
+  private Optional<CallerAnswer> answerIfSchedulerIsGone(
+      long number, OpenRequest openRequest, Instant answerBy) throws InterruptedException {
     boolean withdrawn = withdraw(number);
     if (!withdrawn && scheduler.schedulerSeenRecently()) {
       return Optional.empty();
     }
-    Optional<CallerAnswer> answer = answerWithoutScheduler(openRequest);
+    Optional<CallerAnswer> answer = answerWithoutScheduler(openRequest, answerBy);
     if (answer.isPresent()) {
       return answer;
     }
-    if (withdraw(number) && !openRequest.mayTakeEffect()) {
+    boolean queuedForStore = openRequest.appendUnsent() && remainingMillis(answerBy) > 1;
+    if (!queuedForStore && withdraw(number) && !openRequest.mayTakeEffect()) {
       return openRequest
           .answer()
           .or(() -> Optional.of(CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, RETRY_AFTER)));
@@ -352,17 +393,13 @@
         == null;
   }
 
-  private long waitMillis(OpenRequest openRequest, Instant answerBy) {
-    Duration wait = openRequest.awaitsScheduler() ? SCHEDULER_ANSWER_WAIT : APPEND_RETRY_WAIT;
-    return Math.min(remainingMillis(answerBy), wait.toMillis());
-  }
-
   private long remainingMillis(Instant answerBy) {
     return Math.max(1, Duration.between(context.clock().instant(), answerBy).toMillis());
   }
 
   /** Answers a request from the store alone, or returns empty if that fails. */
-  private Optional<CallerAnswer> answerWithoutScheduler(OpenRequest openRequest) {
+  private Optional<CallerAnswer> answerWithoutScheduler(OpenRequest openRequest, Instant answerBy)
+      throws InterruptedException {
     CallerRequest request = openRequest.request();
     if (!scheduler.storeAvailable()) {
       // An append that gets no answer would rule out that the request is refused.
@@ -372,11 +409,11 @@
     }
     if (request instanceof CallerRequest.Submit submit) {
       return appendWithoutScheduler(
-          openRequest, new JournalEntry.Accepted(submit.definition()), Verdict.ACCEPTED);
+          openRequest, new JournalEntry.Accepted(submit.definition()), Verdict.ACCEPTED, answerBy);
     }
     if (request instanceof CallerRequest.Cancel cancel) {
       return appendWithoutScheduler(
-          openRequest, new JournalEntry.Cancelled(cancel.job()), Verdict.CANCELLED);
+          openRequest, new JournalEntry.Cancelled(cancel.job()), Verdict.CANCELLED, answerBy);
     }
     return Optional.of(showStored(request));
   }
@@ -398,17 +435,17 @@
   }
 
   private Optional<CallerAnswer> appendWithoutScheduler(
-      OpenRequest openRequest, JournalEntry entry, Verdict verdictIfStored) {
+      OpenRequest openRequest, JournalEntry entry, Verdict verdictIfStored, Instant answerBy)
+      throws InterruptedException {
     if (!openRequest.tryBeginAppend()) {
       return openRequest.answer();
     }
-    Either<StoreFailure, Long> result =
-        context
-            .store()
-            .append(JournalCodec.TOPIC, JournalCodec.encode(List.of(entry)), Optional.empty());
-    boolean surelyNotStored =
-        result.isLeft() && result.getLeft().kind() == StoreFailure.Kind.NOT_DONE;
-    openRequest.endAppend(surelyNotStored);
+    Instant queueUntil = context.clock().instant().plus(APPEND_QUEUE_WAIT);
+    Optional<Either<StoreFailure, Long>> result =
+        appends.append(entry, queueUntil.isBefore(answerBy) ? queueUntil : answerBy);
+    OpenRequest.AppendOutcome outcome =
+        result.map(OpenRequest.AppendOutcome::of).orElse(OpenRequest.AppendOutcome.UNSENT);
+    openRequest.endAppend(outcome);
     String reason =
         openRequest.awaitsScheduler() ? "scheduler did not answer" : "no scheduler known";
     context
@@ -416,7 +453,9 @@
         .write(
             "journal append without a scheduler",
             entry.job().text(),
-            Map.of("stored", result.isRight(), "surelyNot", surelyNotStored, "reason", reason));
-    return result.isRight() ? Optional.of(CallerAnswer.of(verdictIfStored)) : Optional.empty();
+            Map.of("outcome", outcome, "reason", reason));
+    return outcome == OpenRequest.AppendOutcome.STORED
+        ? Optional.of(CallerAnswer.of(verdictIfStored))
+        : Optional.empty();
   }
 }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OpenRequest.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OpenRequest.java
@@ -1,5 +1,6 @@
 package org.hyssopport.launcher.cell;
 
+import io.vavr.control.Either;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerRequest;
+import org.hyssopport.platform.StoreFailure;
 
 /**
  * A request that waits for an answer.
@@ -31,6 +33,7 @@
   private int appends;
   private boolean appending;
   private boolean maybeStored;
+  private Optional<AppendOutcome> lastAppend = Optional.empty();
 
   OpenRequest(CallerRequest request) {
     this.request = request;
@@ -93,10 +96,41 @@
     return true;
   }
 
-  /** Records the outcome of the append: whether the store has refused it for certain. */
-  synchronized void endAppend(boolean surelyNotStored) {
+  /** How an append by this member ended. */
+  enum AppendOutcome {
+    /** The store has the entry. */
+    STORED(true),
+    /** The store may have the entry, or may get it later. */
+    UNCERTAIN(true),
+    /** The store has refused the entry for certain. */
+    REFUSED(false),
+    /** The entry was not sent, since others were before it. */
+    UNSENT(false);
+
+    private final boolean maybeStored;
+
+    AppendOutcome(boolean maybeStored) {
+      this.maybeStored = maybeStored;
+    }
+
+    static AppendOutcome of(Either<StoreFailure, Long> result) {
+      if (result.isRight()) {
+        return STORED;
+      }
+      return result.getLeft().kind() == StoreFailure.Kind.NOT_DONE ? REFUSED : UNCERTAIN;
+    }
+  }
+
+  /** Records how the append ended. */
+  synchronized void endAppend(AppendOutcome outcome) {
     appending = false;
-    maybeStored |= !surelyNotStored;
+    maybeStored |= outcome.maybeStored;
+    lastAppend = Optional.of(outcome);
+  }
+
+  /** Returns whether this member last had to give up an append before it was sent. */
+  synchronized boolean appendUnsent() {
+    return lastAppend.filter(outcome -> outcome == AppendOutcome.UNSENT).isPresent();
   }
 
   /** Records an answer of a scheduler; returns whether it is final. */
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -81,6 +81,9 @@
   /** Whether the last word of the scheduler at {@link #schedulerAddress} was that it leads. */
   private volatile boolean schedulerLeads;
 
+  /** When a scheduler last said that it no longer leads, or this process started. */
+  private volatile Instant notLeadingSince;
+
   private volatile Optional<String> newestTermLeader = Optional.empty();
   private volatile long newestEndedTerm;
   private volatile boolean lastSchedulerAnswered;
@@ -112,6 +115,7 @@
     this.localAnswerSink = localAnswerSink;
     this.selfAddress = context.settings().peerAddress();
     this.startedAt = context.clock().instant().truncatedTo(ChronoUnit.MILLIS);
+    this.notLeadingSince = startedAt;
     this.notTakenRequests = new NotTakenRequests(context);
     this.liveWorkers = new LiveWorkerCache(context.store(), context.log(), context.clock());
     this.policy = ElectionPolicy.of(context.settings().processors(), startedAt);
@@ -170,6 +174,16 @@
         || (schedulerLeads && schedulerSeenWithin(ElectionPolicy.SCHEDULER_TIMEOUT));
   }
 
+  @Override
+  public boolean nextSchedulerExpected() {
+    if (schedulerSeenRecently()) {
+      return false;
+    }
+    Instant lostAt =
+        schedulerLeads ? schedulerSeenAt.plus(ElectionPolicy.SCHEDULER_TIMEOUT) : notLeadingSince;
+    return context.clock().instant().isBefore(lostAt.plus(ElectionPolicy.USUAL_TAKE_OVER_TIME));
+  }
+
   @Override
   public boolean storeAvailable() {
     return storeAvailable;
@@ -275,6 +289,9 @@
 
   private void onNotLeading(String sender, long term) {
     if (schedulerAddress.filter(sender::equals).isPresent() && activeTerm().isEmpty()) {
+      if (schedulerLeads) {
+        notLeadingSince = context.clock().instant();
+      }
       schedulerLeads = false;
       if (newestTermLeader.filter(sender::equals).isPresent() && term >= newestTerm) {
         // The sender knows this term, so it does not answer as a process that has just started.
@@ -472,6 +489,7 @@
    */
   private void handOver(SchedulerTerm term, String reason) {
     term.end(reason);
+    notLeadingSince = context.clock().instant();
     for (String member : term.liveMembers()) {
       if (!member.equals(selfAddress)) {
         transport.send(member, new MemberMessage.NotLeading(term.term()));
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
@@ -7,26 +7,15 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.sun.net.httpserver.HttpServer;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.hyssopport.engine.job.JobDefinition;
-import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JobState;
-import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
 import org.hyssopport.engine.scheduler.CallerRequest;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -40,124 +29,7 @@
  *
  * <p>Guards against refusing a job that a scheduler or the store has accepted in the meantime.
  */
-class ForwardingRequestHandlerTests {
-
-  private static final JobId JOB = new JobId("0123456789abcdef");
-
-  private static final CallerRequest SUBMIT =
-      new CallerRequest.Submit(
-          new JobDefinition(
-              JOB,
-              new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
-              "",
-              List.of(),
-              0,
-              Instant.EPOCH,
-              Duration.ZERO,
-              Instant.EPOCH));
-
-  private static final CallerRequest SHOW = new CallerRequest.Show(JOB);
-
-  private static final CallerRequest CANCEL = new CallerRequest.Cancel(JOB);
-
-  /** Longer than the handler waits for a scheduler that sends no heartbeats. */
-  private static final long SLOW_ANSWER_MILLIS = 1000;
-
-  private final MonotonicClock clock = new MonotonicClock();
-  private final StubSchedulerClient scheduler = new StubSchedulerClient();
-  private volatile Runnable beforeStoreAnswer = () -> {};
-  private volatile boolean storeAnswersLost;
-  private volatile boolean storeWorks;
-  private final ByteArrayOutputStream logOutput = new ByteArrayOutputStream();
-  private HttpServer storeServer;
-  private MemberContext context;
-  private ForwardingRequestHandler handler;
-
-  /** A client that answers with the values that the test sets, and records the requests sent. */
-  private static final class StubSchedulerClient
-      implements ForwardingRequestHandler.SchedulerClient {
-    private volatile boolean schedulerKnown;
-    private volatile boolean storeAvailable = true;
-    private volatile boolean schedulerSeenRecently;
-    private int requestsSent;
-    private volatile long sentNumber;
-    private volatile Runnable afterSend = () -> {};
-    private volatile Runnable beforeStoreAvailable = () -> {};
-
-    @Override
-    public Optional<SchedulerSeat> trySend(long number, CallerRequest request) {
-      boolean sent = schedulerKnown;
-      requestsSent += sent ? 1 : 0;
-      sentNumber = number;
-      new Thread(afterSend).start();
-      return sent ? Optional.of(new SchedulerSeat("127.0.0.1:2", 1)) : Optional.empty();
-    }
-
-    @Override
-    public Optional<PendingJobs> pendingJobs() {
-      return Optional.empty();
-    }
-
-    @Override
-    public boolean hasRecentContact() {
-      return schedulerKnown;
-    }
-
-    @Override
-    public boolean schedulerSeenRecently() {
-      return schedulerSeenRecently;
-    }
-
-    @Override
-    public boolean storeAvailable() {
-      Runnable action = beforeStoreAvailable;
-      beforeStoreAvailable = () -> {};
-      action.run();
-      return storeAvailable;
-    }
-  }
-
-  @BeforeEach
-  void start() throws IOException {
-    storeServer = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-    storeServer.createContext(
-        "/",
-        exchange -> {
-          exchange.getRequestBody().readAllBytes();
-          beforeStoreAnswer.run();
-          if (storeWorks) {
-            byte[] body = "{\"offset\":0,\"end\":1}".getBytes(StandardCharsets.UTF_8);
-            exchange.sendResponseHeaders(200, body.length);
-            exchange.getResponseBody().write(body);
-          } else if (!storeAnswersLost) {
-            exchange.sendResponseHeaders(503, -1);
-          }
-          exchange.close();
-        });
-    storeServer.start();
-    context =
-        MemberContexts.create("127.0.0.1:" + storeServer.getAddress().getPort(), clock, logOutput);
-    handler = newHandler();
-  }
-
-  /** Returns a handler as a process that starts under the member's address makes it. */
-  private ForwardingRequestHandler newHandler() {
-    return new ForwardingRequestHandler(
-        context, new ConfigurationFollower(context.store(), context.log()), scheduler);
-  }
-
-  @AfterEach
-  void stop() {
-    storeServer.stop(0);
-  }
-
-  private CallerAnswer submit() {
-    return handle(SUBMIT);
-  }
-
-  private CallerAnswer handle(CallerRequest request) {
-    return handler.handle(request, clock.instant().plusSeconds(1));
-  }
+class ForwardingRequestHandlerTests extends AbstractForwardingRequestHandlerTests {
 
   @Test
   void reportsUnavailableWhenTheStoreRefusesTheAppend() {
@@ -186,7 +58,8 @@
   // A request was called uncertain after an append that could not succeed, although the only
   // scheduler that had got it refused it.
   @ParameterizedTest
-  @MethodSource("org.hyssopport.launcher.cell.ForwardingRequestHandlerTests#appendedRequests")
+  @MethodSource(
+      "org.hyssopport.launcher.cell.AbstractForwardingRequestHandlerTests#appendedRequests")
   void doesNotAppendWhileTheStoreIsUnavailableAndTheSchedulerSilent(CallerRequest request) {
     scheduler.schedulerKnown = true;
     scheduler.storeAvailable = false;
@@ -251,7 +124,8 @@
 
   // The outcome was called uncertain after a few milliseconds, with the caller's time left.
   @ParameterizedTest
-  @MethodSource("org.hyssopport.launcher.cell.ForwardingRequestHandlerTests#appendedRequests")
+  @MethodSource(
+      "org.hyssopport.launcher.cell.AbstractForwardingRequestHandlerTests#appendedRequests")
   void repeatsAppendsWhoseAnswersAreLost(CallerRequest request, Verdict verdict) {
     storeAnswersLost = true;
     beforeStoreAnswer = () -> beforeStoreAnswer = () -> storeWorks = true;
@@ -291,21 +165,6 @@
     }
   }
 
-  /** Returns the logged lines of an event; waits until there is at least one. */
-  private List<String> loggedLines(String event) {
-    List<String> lines = List.of();
-    while (lines.isEmpty()) {
-      Threads.pause(1);
-      lines =
-          logOutput
-              .toString(StandardCharsets.UTF_8)
-              .lines()
-              .filter(line -> line.contains("\"" + event + "\"") && line.endsWith("}"))
-              .toList();
-    }
-    return lines;
-  }
-
   @Test
   void doesNotAppendWhileTheSchedulerIsAlive() {
     scheduler.schedulerKnown = true;
@@ -404,7 +263,8 @@
     }
 
     @ParameterizedTest
-    @MethodSource("org.hyssopport.launcher.cell.ForwardingRequestHandlerTests#appendedRequests")
+    @MethodSource(
+        "org.hyssopport.launcher.cell.AbstractForwardingRequestHandlerTests#appendedRequests")
     void areStoredByTheMemberIfThereIsNoNextScheduler(CallerRequest request, Verdict verdict) {
       storeWorks = true;
       scheduler.afterSend = this::returnAndForgetScheduler;
@@ -537,11 +397,6 @@
     }
   }
 
-  /** Each request that a member can append itself, with the answer once that is done. */
-  static List<Arguments> appendedRequests() {
-    return List.of(Arguments.of(SUBMIT, Verdict.ACCEPTED), Arguments.of(CANCEL, Verdict.CANCELLED));
-  }
-
   /** Each request with an answer that can't be its own, and with its own. */
   static List<Arguments> answersOfAnotherKind() {
     CallerAnswer accepted = CallerAnswer.of(Verdict.ACCEPTED);
