Measure how long jobs have waited by clocks that do not step

Change: jobs are dated by the member's monotonic clock, which shows the time of day as of its start, and the scheduler compares with its own.

Left: a process that starts while its clock is off dates its jobs wrongly until it ends; jobs on a schedule follow the time of day, and so start early if it steps forward.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JobDefinition.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JobDefinition.java
@@ -14,7 +14,8 @@
  * @param occurrences how often it runs on a schedule; 0 to run once, immediately
  * @param firstDue the wall-clock time at which the first occurrence is due
  * @param interval the time between occurrences
- * @param acceptedAt the wall-clock time at which it was accepted
+ * @param acceptedAt when it was accepted, by the monotonic clock of the member that accepted it,
+ *     which shows the wall-clock time as of that member's start
  * @since 0.2
  */
 public record JobDefinition(
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -109,7 +109,8 @@
    *
    * @param event the event
    * @param now the reading of the local monotonic clock
-   * @param wallClockTime the current wall-clock time
+   * @param wallClockTime the current wall-clock time, which only says which jobs on a schedule are
+   *     due; it may step
    * @return the effects to carry out, in order
    */
   public List<SchedulerEffect> handle(SchedulerEvent event, Instant now, Instant wallClockTime) {
@@ -123,7 +124,8 @@
    * since the last call allow.
    *
    * @param now the reading of the local monotonic clock
-   * @param wallClockTime the current wall-clock time
+   * @param wallClockTime the current wall-clock time, which only says which jobs on a schedule are
+   *     due; it may step
    * @return the effects to carry out, in order
    */
   public List<SchedulerEffect> decide(Instant now, Instant wallClockTime) {
@@ -510,7 +512,8 @@
       }
       Optional<Job> found = jobs.find(accepted.job());
       if (found.isEmpty()) {
-        jobs.add(journalRecovery.toStoredJob(accepted.definition()));
+        jobs.add(
+            journalRecovery.toStoredJob(accepted.definition(), journalReadAt.orElse(Instant.MIN)));
         context.logDecision("accepted elsewhere", accepted.job(), Map.of());
       } else if (!found.get().acceptanceStored()) {
         confirmAcceptance(found.get());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
@@ -1,6 +1,6 @@
 package org.hyssopport.engine.scheduler;
 
-import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -47,7 +47,7 @@
     Set<JobId> cancelled = new HashSet<>();
     for (JournalEntry entry : entries) {
       if (entry instanceof JournalEntry.Accepted accepted) {
-        jobs.add(toStoredJob(accepted.definition()));
+        jobs.add(toStoredJob(accepted.definition(), Instant.MIN));
       } else if (entry instanceof JournalEntry.Progressed progressed) {
         progress.put(entry.job(), progressed);
       } else if (entry instanceof JournalEntry.Cancelled) {
@@ -58,10 +58,21 @@
     return cancelled;
   }
 
-  /** Returns a job whose acceptance is stored in the journal. */
-  Job toStoredJob(JobDefinition definition) {
-    Duration age = Duration.between(definition.acceptedAt(), context.wallClockTime());
-    Job job = Job.accepted(definition, context.now().minus(age.isNegative() ? Duration.ZERO : age));
+  /**
+   * Returns a job whose acceptance is stored in the journal.
+   *
+   * @param definition the definition of the job
+   * @param notBefore the earliest time at which it can have been stored, by the local monotonic
+   *     clock; the clock of the member that accepted it may differ by any time
+   */
+  Job toStoredJob(JobDefinition definition, Instant notBefore) {
+    Instant acceptedAt = definition.acceptedAt();
+    if (acceptedAt.isAfter(context.now())) {
+      acceptedAt = context.now();
+    } else if (acceptedAt.isBefore(notBefore)) {
+      acceptedAt = notBefore;
+    }
+    Job job = Job.accepted(definition, acceptedAt);
     job.markAcceptanceStored();
     return job;
   }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
@@ -43,14 +43,18 @@
   }
 
   static JobDefinition job(JobId id) {
-    return job(id, Optional.empty());
+    return job(id, Optional.empty(), NOW);
   }
 
   static JobDefinition job(Optional<AdvicePolicy> advice) {
-    return job(ID, advice);
+    return job(ID, advice, NOW);
   }
 
-  private static JobDefinition job(JobId id, Optional<AdvicePolicy> advice) {
+  static JobDefinition jobAcceptedAt(Instant acceptedAt) {
+    return job(ID, Optional.empty(), acceptedAt);
+  }
+
+  private static JobDefinition job(JobId id, Optional<AdvicePolicy> advice, Instant acceptedAt) {
     StepDefinition step =
         new StepDefinition(
             1,
@@ -73,7 +77,7 @@
         0,
         Instant.EPOCH,
         Duration.ZERO,
-        NOW);
+        acceptedAt);
   }
 
   static WorkerDescription worker(WorkerId id, long incarnation) {
