Refuse jobs whose records the store would not take

The store refuses a record of more than 262,144 bytes. The scheduler takes the store's refusal as the end of its term. This is the users' report of one message that takes a process down.

Change: such a job is answered 413 before it is passed on.

Left: larger jobs would need their progress in several records.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -235,7 +235,10 @@
     try {
       long number = lastRequestNumber.incrementAndGet();
       OpenRequest openRequest = new OpenRequest(request);
-      CallerAnswer answer = obtainAnswer(number, openRequest, answerBy(deadline));
+      CallerAnswer answer =
+          isTooLarge(request)
+              ? CallerAnswer.of(Verdict.TOO_LARGE)
+              : obtainAnswer(number, openRequest, answerBy(deadline));
       Duration duration = Duration.ofNanos(System.nanoTime() - startNanos);
       recordAnswer(number, openRequest, answer, duration);
       return answer;
@@ -265,6 +268,11 @@
     context.log().write("answered", request.job().text(), fields);
   }
 
+  private static boolean isTooLarge(CallerRequest request) {
+    return request instanceof CallerRequest.Submit submit
+        && !JournalCodec.fits(submit.definition());
+  }
+
   /**
    * Returns until when to wait for the answer of a caller with the given deadline. Nearly all of
    * the caller's time is used, since a caller can't safely repeat a request whose outcome is
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalCodec.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalCodec.java
@@ -9,6 +9,7 @@
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JobProgress;
 import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.platform.StoreRecord;
 import org.hyssopport.platform.StoreWrite;
 import org.hyssopport.protocol.MessagePackCodec;
@@ -32,8 +33,25 @@
   private static final MessagePackCodec<JobProgress> PROGRESS_CODEC =
       MessagePackCodec.of(JobProgress.class);
 
+  /** The store refuses larger records; the key and its length take 18 bytes of them. */
+  private static final int MAXIMUM_VALUE_BYTES = 262_144 - 18;
+
+  /** The largest encoded progress of a task, with a worker's id of 64 characters. */
+  private static final int MAXIMUM_TASK_PROGRESS_BYTES = 250;
+
   private JournalCodec() {}
 
+  /**
+   * Returns whether the definition of a job and its progress, with all of its tasks assigned, each
+   * fit into one record. A larger record would end the term of each scheduler that appends it.
+   */
+  static boolean fits(JobDefinition definition) {
+    long tasks = definition.steps().stream().mapToLong(StepDefinition::tasks).sum();
+    boolean progressFits =
+        tasks * definition.occurrenceCount() * MAXIMUM_TASK_PROGRESS_BYTES <= MAXIMUM_VALUE_BYTES;
+    return progressFits && DEFINITION_CODEC.encode(definition).length <= MAXIMUM_VALUE_BYTES;
+  }
+
   /** Returns the records of the entries; what is no longer needed of a job is deleted. */
   static List<StoreWrite> encode(List<JournalEntry> entries) {
     List<StoreWrite> writes = new ArrayList<>();
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
@@ -1,12 +1,14 @@
 package org.hyssopport.launcher.cell;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -37,6 +39,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -109,6 +112,69 @@
         new StoreRecord(1, "j" + ID, Optional.of(DEFINITIONS.encode(definition))));
   }
 
+  static List<JobDefinition> jobsWithTooLargeRecords() {
+    Duration second = Duration.ofSeconds(1);
+    StepDefinition longLabel =
+        new StepDefinition(
+            1,
+            new Resources(1, 1, 0),
+            second,
+            List.of(),
+            false,
+            false,
+            false,
+            Optional.of("x".repeat(262_144)),
+            Optional.empty(),
+            0,
+            false,
+            false);
+    return List.of(
+        job(
+            Collections.nCopies(900, step(1, second, Collections.nCopies(200, 0))),
+            0,
+            Instant.EPOCH,
+            second),
+        job(List.of(step(2_000, second, List.of())), 0, Instant.EPOCH, second),
+        job(List.of(step(20, second, List.of())), 100, Instant.EPOCH, second),
+        job(List.of(longLabel), 0, Instant.EPOCH, second));
+  }
+
+  // The store refused the record of such a job, which ended the term of the scheduler; so did the
+  // progress of one with many tasks in each term, once they were assigned.
+  @ParameterizedTest
+  @MethodSource("jobsWithTooLargeRecords")
+  void jobsWithLargerRecordsThanTheStoreTakesDoNotFit(JobDefinition definition) {
+    assertFalse(JournalCodec.fits(definition));
+  }
+
+  @Test
+  void progressOfJobsThatFitIsTakenByTheStore() {
+    int tasks = 1_000;
+    JobDefinition definition =
+        job(
+            List.of(step(tasks, Duration.ofSeconds(1), List.of())),
+            0,
+            Instant.EPOCH,
+            Duration.ZERO);
+    assertTrue(JournalCodec.fits(definition));
+    TaskProgress largest =
+        new TaskProgress(
+            99_999,
+            99_999,
+            99_999,
+            false,
+            Integer.MAX_VALUE,
+            Integer.MAX_VALUE,
+            Optional.of(new WorkerId("x".repeat(64))),
+            Long.MAX_VALUE,
+            "0123456789abcdef");
+    JobProgress progress =
+        new JobProgress(ID, JobState.RUNNING, Collections.nCopies(tasks, largest));
+    List<StoreWrite> writes = JournalCodec.encode(List.of(new JournalEntry.Progressed(progress)));
+    int bytes = writes.get(0).value().orElseThrow().length;
+    assertTrue(bytes <= 262_144 - 18, () -> "bytes of the progress: " + bytes);
+  }
+
   // Such a record became an entry of nulls, on which the scheduler's thread ended in each term.
   @ParameterizedTest
   @ValueSource(strings = {"j", "p"})
