Call the group more often while there is no scheduler

Cause, by reading: after members have joined, the store gives the partition to its next owner only when the former one and then the next one have called again, and each calls every 300 ms.

Change: 100 ms while a member knows of no scheduler and the store answers. A call counts as a tenth of one.

Test: membersCallTheGroupMoreOftenWhileOnlyTheSchedulerIsMissing.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
@@ -43,6 +43,15 @@
    */
   static final Duration STORE_REGAIN_TIME = Duration.ofMillis(1200);
 
+  /** A membership call counts as a tenth of a call against the store's price and rate limit. */
+  private static final Duration JOIN_INTERVAL = Duration.ofMillis(300);
+
+  /**
+   * Applies while there is no scheduler: after members have joined or left, the store reassigns the
+   * partition only once its owner and the next one have called again.
+   */
+  private static final Duration JOIN_INTERVAL_WITHOUT_SCHEDULER = Duration.ofMillis(100);
+
   private final boolean hasRequiredProcessors;
   private final Instant startedAt;
   private Instant earliestNextHandOver = Instant.MIN;
@@ -122,6 +131,16 @@
     return !works && !mayStillAnswer;
   }
 
+  /**
+   * Returns how long a member waits between two calls that keep it in the group.
+   *
+   * @param schedulerKnown whether there is a scheduler
+   * @param storeAvailable whether the store answers
+   */
+  static Duration joinInterval(boolean schedulerKnown, boolean storeAvailable) {
+    return schedulerKnown || !storeAvailable ? JOIN_INTERVAL : JOIN_INTERVAL_WITHOUT_SCHEDULER;
+  }
+
   /** What is known of the last scheduler that the store names. */
   enum LastSchedulerContact {
     /** The store names no scheduler, or this member itself. */
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -41,9 +41,6 @@
   private static final int LEADER_PARTITION = 0;
   private static final String LEAVING = "leaving";
 
-  /** A membership call counts as a tenth of a call against the store's price and rate limit. */
-  private static final long JOIN_INTERVAL_MILLIS = 300;
-
   /** Outlasts three lost joins; the store's minimum is used instead if it is longer. */
   private static final Duration MEMBERSHIP_TIME_TO_LIVE = Duration.ofSeconds(1);
 
@@ -330,7 +327,8 @@
     Threads.runRound("membership", this::findScheduler);
     while (!leaving) {
       Threads.runRound("membership", this::keepMembership);
-      if (!Threads.pause(JOIN_INTERVAL_MILLIS)) {
+      Duration interval = ElectionPolicy.joinInterval(schedulerSeenRecently(), storeAvailable);
+      if (!Threads.pause(interval.toMillis())) {
         return;
       }
     }
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.hyssopport.launcher.cell.ElectionPolicy.LastSchedulerContact;
 import org.hyssopport.launcher.cell.ElectionPolicy.SchedulerContact;
@@ -121,4 +122,13 @@
             now.minusMillis(silentMillis), leads, false, LastSchedulerContact.ANSWERED);
     assertEquals(expected, policy.mayBeginTerm(now, contact, now.minusMillis(millisSinceOutage)));
   }
+
+  @ParameterizedTest
+  @CsvSource({"true, true, 300", "true, false, 300", "false, false, 300", "false, true, 100"})
+  void membersCallTheGroupMoreOftenWhileOnlyTheSchedulerIsMissing(
+      boolean schedulerKnown, boolean storeAvailable, long expectedMillis) {
+    assertEquals(
+        Duration.ofMillis(expectedMillis),
+        ElectionPolicy.joinInterval(schedulerKnown, storeAvailable));
+  }
 }
