--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/AbstractForwardingRequestHandlerTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/AbstractForwardingRequestHandlerTests.java
@@ -6,13 +6,10 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
-import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
-import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
 import org.hyssopport.engine.scheduler.CallerRequest;
@@ -28,16 +25,7 @@
   static final JobId JOB = new JobId("0123456789abcdef");
 
   static final CallerRequest SUBMIT =
-      new CallerRequest.Submit(
-          new JobDefinition(
-              JOB,
-              new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
-              "",
-              List.of(),
-              0,
-              Instant.EPOCH,
-              Duration.ZERO,
-              Instant.EPOCH));
+      new CallerRequest.Submit(SampleJobs.job(JOB, SampleJobs.QUEUE, List.of(), Instant.EPOCH));
 
   static final CallerRequest SHOW = new CallerRequest.Show(JOB);
 
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ForwardingRequestHandlerTests.java
@@ -11,17 +11,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobState;
-import org.hyssopport.engine.job.QueuePolicy;
-import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
 import org.hyssopport.engine.scheduler.CallerRequest;
-import org.hyssopport.policy.Resources;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -39,30 +35,8 @@
 
   @Test
   void refusesJobsThatAreTooLargeWithoutPassingThemOn() {
-    StepDefinition step =
-        new StepDefinition(
-            2_000,
-            new Resources(1, 1, 0),
-            Duration.ofSeconds(1),
-            List.of(),
-            false,
-            false,
-            false,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            false,
-            false);
     JobDefinition job =
-        new JobDefinition(
-            JOB,
-            new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
-            "",
-            List.of(step),
-            0,
-            Instant.EPOCH,
-            Duration.ZERO,
-            Instant.EPOCH);
+        SampleJobs.job(JOB, SampleJobs.QUEUE, List.of(SampleJobs.step(2_000)), Instant.EPOCH);
     scheduler.schedulerKnown = true;
     assertEquals(Verdict.TOO_LARGE, handle(new CallerRequest.Submit(job)).verdict());
     assertEquals(0, scheduler.requestsSent);
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
@@ -23,7 +23,6 @@
 import org.hyssopport.engine.job.JobProgress;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
-import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.launcher.cell.JobStateCache.JobLookup;
 import org.hyssopport.launcher.cell.JobStateCache.LookupStatus;
 import org.hyssopport.platform.StoreWrite;
@@ -111,16 +110,7 @@
   }
 
   private void addAcceptedJob() {
-    JobDefinition job =
-        new JobDefinition(
-            ID,
-            new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
-            "",
-            List.of(),
-            0,
-            Instant.EPOCH,
-            Duration.ZERO,
-            Instant.EPOCH);
+    JobDefinition job = SampleJobs.job(ID, SampleJobs.QUEUE, List.of(), Instant.EPOCH);
     for (StoreWrite write : JournalCodec.encode(List.of(new JournalEntry.Accepted(job)))) {
       addRecord(write.key(), write.value().orElseThrow());
     }
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
@@ -26,14 +26,12 @@
 import org.hyssopport.engine.job.JobProgress;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
-import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.engine.job.TaskProgress;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.platform.StoreRecord;
 import org.hyssopport.platform.StoreWrite;
-import org.hyssopport.policy.Resources;
 import org.hyssopport.protocol.MemberMessage;
 import org.hyssopport.protocol.MessagePackCodec;
 import org.junit.jupiter.api.Test;
@@ -73,26 +71,14 @@
   }
 
   private static StepDefinition step(int tasks, Duration estimate, List<Integer> after) {
-    return new StepDefinition(
-        tasks,
-        new Resources(1, 1, 0),
-        estimate,
-        after,
-        false,
-        false,
-        false,
-        Optional.empty(),
-        Optional.empty(),
-        0,
-        false,
-        false);
+    return SampleJobs.step(tasks, estimate, after, Optional.empty());
   }
 
   private static JobDefinition job(
       List<StepDefinition> steps, int times, Instant firstDue, Duration interval) {
     return new JobDefinition(
         ID,
-        new QueuePolicy("q", "s", 0, 1, 1, Duration.ZERO, Optional.empty()),
+        SampleJobs.QUEUE,
         "",
         steps,
         times,
@@ -115,19 +101,7 @@
   static List<JobDefinition> jobsWithTooLargeRecords() {
     Duration second = Duration.ofSeconds(1);
     StepDefinition longLabel =
-        new StepDefinition(
-            1,
-            new Resources(1, 1, 0),
-            second,
-            List.of(),
-            false,
-            false,
-            false,
-            Optional.of("x".repeat(262_144)),
-            Optional.empty(),
-            0,
-            false,
-            false);
+        SampleJobs.step(1, second, List.of(), Optional.of("x".repeat(262_144)));
     return List.of(
         job(
             Collections.nCopies(900, step(1, second, Collections.nCopies(200, 0))),
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
@@ -32,12 +32,10 @@
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.job.QueuePolicy;
-import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.engine.scheduler.CallerRequestId;
 import org.hyssopport.launcher.MetricRegistry;
 import org.hyssopport.platform.StoreWrite;
-import org.hyssopport.policy.Resources;
 import org.hyssopport.protocol.MemberMessage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -224,22 +222,8 @@
   }
 
   private static String acceptedJob() {
-    StepDefinition step =
-        new StepDefinition(
-            1,
-            new Resources(1, 1, 0),
-            Duration.ofSeconds(1),
-            List.of(),
-            false,
-            false,
-            false,
-            Optional.empty(),
-            Optional.empty(),
-            0,
-            false,
-            false);
     JobDefinition job =
-        new JobDefinition(
+        SampleJobs.job(
             new JobId("0123456789abcdef"),
             new QueuePolicy(
                 "q",
@@ -251,11 +235,7 @@
                 Optional.of(
                     new AdvicePolicy(
                         Duration.ofMillis(5), Duration.ofMillis(1), Duration.ofMillis(1500)))),
-            "",
-            List.of(step),
-            0,
-            Instant.EPOCH,
-            Duration.ZERO,
+            List.of(SampleJobs.step(1)),
             Instant.now());
     StoreWrite write = JournalCodec.encode(List.of(new JournalEntry.Accepted(job))).get(0);
     return record(write.key(), write.value().orElseThrow());
