--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.hyssopport.engine.advice.AdviceCall;
 import org.hyssopport.engine.advice.Ticket;
 import org.hyssopport.engine.job.JournalEntry;
@@ -81,7 +82,9 @@
   void begin() {
     journal.fence(term);
     nextUnreadOffset = journal.endOffset();
-    handle(SchedulerEvent.Recovered.of(journal.entries(), workers.describeLiveWorkers()));
+    handle(
+        new SchedulerEvent.Recovered(
+            journal.entries(), workers.describeLiveWorkers(), workers.describeLapsedWorkers()));
     handle(new SchedulerEvent.JournalRead(time.now()));
     Set<String> names = new HashSet<>();
     for (int number = 0; number < memberCount; number++) {
@@ -116,7 +119,11 @@
     if (!ended) {
       if (!journal.isDown()) {
         handle(new SchedulerEvent.StoreAnswered());
-        handle(new SchedulerEvent.LiveListReceived(workers.describeLiveWorkers(), Set.of()));
+        Set<WorkerId> lapsed =
+            workers.describeLapsedWorkers().stream()
+                .map(WorkerDescription::id)
+                .collect(Collectors.toSet());
+        handle(new SchedulerEvent.LiveListReceived(workers.describeLiveWorkers(), lapsed));
       }
       time.afterMillis(LIST_INTERVAL_MILLIS, this::listWorkers);
     }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorkers.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorkers.java
@@ -46,6 +46,9 @@
   private final Map<JobId, Duration> workDurations = new HashMap<>();
   private final Map<JobId, Integer> plannedFailures = new HashMap<>();
 
+  private int expiredEntries;
+  private boolean expiredEntriesKnown;
+
   private SimulatedWorkers(VirtualTime time) {
     this.time = time;
     this.tickets = new SimulatedTickets(time);
@@ -100,11 +103,32 @@
     return workers.get(id);
   }
 
+  /**
+   * Lets the entries of the first workers be missing from the live list for some time, as after an
+   * outage of the store. The workers themselves go on.
+   *
+   * @param count how many workers
+   * @param span how long their entries are missing
+   * @param knownAsLapsed whether schedulers are told that the entries expired; otherwise, the
+   *     workers seem to have left
+   */
+  public void expireEntries(int count, Duration span, boolean knownAsLapsed) {
+    expiredEntries = count;
+    expiredEntriesKnown = knownAsLapsed;
+    time.after(span, () -> expiredEntries = 0);
+  }
+
   List<WorkerDescription> describeLiveWorkers() {
-    return workersByIndex.stream()
-        .filter(SimulatedWorker::isUp)
-        .map(SimulatedWorker::describe)
-        .toList();
+    return describe(workersByIndex.subList(expiredEntries, workersByIndex.size()));
+  }
+
+  /** Returns the workers that schedulers know as lapsed. */
+  List<WorkerDescription> describeLapsedWorkers() {
+    return expiredEntriesKnown ? describe(workersByIndex.subList(0, expiredEntries)) : List.of();
+  }
+
+  private static List<WorkerDescription> describe(List<SimulatedWorker> workers) {
+    return workers.stream().filter(SimulatedWorker::isUp).map(SimulatedWorker::describe).toList();
   }
 
   Duration workDuration(TaskId task, StepDefinition step) {
