--- a/review/standins/LargeBatchCase.java
+++ b/review/standins/LargeBatchCase.java
@@ -19,10 +19,10 @@
 final class LargeBatchCase {
 
   private static final int WORKERS = 3;
-  private static final int LARGE_JOBS = 130;
-  private static final long LARGE_JOB_MILLIS = 120;
+  private static final int LARGE_JOBS = 200;
+  private static final long LARGE_JOB_MILLIS = 90;
   private static final int WIDTH = 60;
-  private static final long TASK_CPU = 20;
+  private static final long TASK_CPU = 10;
   private static final long SHORT_MILLIS = 200;
   private static final long SHORTEST_TAIL_MILLIS = 10_000;
   private static final long LONGEST_TAIL_MILLIS = 34_000;
