--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -22,6 +22,7 @@
   private static final long APPEND_MILLIS = 2;
   private static final double PARTITION_BYTES_PER_MILLI = 20_000;
   private static final int KEPT_APPENDS = 5;
+  private static final long PARTITION_BYTES = 200L << 20;
 
   private static final class Producer {
     long epoch = -1;
@@ -30,11 +31,16 @@
   }
 
   private static final class Topic {
+    /** The records by offset; those before {@link #first} are deleted. */
     final List<byte[]> records = new ArrayList<>();
-    final TreeMap<String, Long> newest = new TreeMap<>();
+    final TreeMap<String, Newest> newest = new TreeMap<>();
+    int first;
+    long bytes;
     final Map<String, Producer> producers = new HashMap<>();
   }
 
+  private record Newest(long offset, byte[] content) {}
+
   private static final class Group {
     final LinkedHashMap<String, Long> expiry = new LinkedHashMap<>();
     long generation = 1;
@@ -62,6 +68,11 @@
     return store;
   }
 
+  /** Returns the bytes that a topic holds. */
+  synchronized long bytes(String topic) {
+    return topic(topic).bytes;
+  }
+
   String address() {
     return http.address();
   }
@@ -86,8 +97,8 @@
 
   /** Returns the newest value of a key, or null. */
   synchronized byte[] value(String topic, String key) {
-    Long offset = topic(topic).newest.get(key);
-    return offset == null ? null : valueOf(topic(topic).records.get(offset.intValue()));
+    Newest newest = topic(topic).newest.get(key);
+    return newest == null ? null : valueOf(newest.content());
   }
 
   private static byte[] valueOf(byte[] content) {
@@ -98,10 +109,14 @@
     int length = content[0] & 255;
     String key = new String(content, 1, length, StandardCharsets.UTF_8);
     topic.records.add(content);
+    topic.bytes += content.length;
+    while (topic.bytes > PARTITION_BYTES) {
+      topic.bytes -= topic.records.set(topic.first++, null).length;
+    }
     if (content.length == 1 + length) {
       topic.newest.remove(key);
     } else {
-      topic.newest.put(key, (long) topic.records.size() - 1);
+      topic.newest.put(key, new Newest(topic.records.size() - 1, content));
     }
   }
 
@@ -199,8 +214,12 @@
       if (busy) {
         return Http.Reply.empty(503);
       }
+      if (from < topic.first) {
+        return Http.Reply.json(410, Http.JSON.createObjectNode().put("first", topic.first));
+      }
       ByteArrayOutputStream out = new ByteArrayOutputStream();
-      out.write(ByteBuffer.allocate(16).putLong(topic.records.size()).putLong(0).array());
+      out.write(
+          ByteBuffer.allocate(16).putLong(topic.records.size()).putLong(topic.first).array());
       for (long at = from; at < topic.records.size(); at++) {
         byte[] content = topic.records.get((int) at);
         if (at > from && out.size() + content.length > bytes) {
@@ -220,13 +239,13 @@
         return Http.Reply.empty(503);
       }
       Topic topic = topic(call.query().get("topic"));
-      Map<String, Long> rest =
+      Map<String, Newest> rest =
           topic.newest.tailMap(call.query().getOrDefault("after", ""), false);
       ObjectNode node = Http.JSON.createObjectNode();
       ArrayNode items = node.putArray("items");
       long bytes = 0;
-      for (Map.Entry<String, Long> entry : rest.entrySet()) {
-        byte[] value = valueOf(topic.records.get(entry.getValue().intValue()));
+      for (Map.Entry<String, Newest> entry : rest.entrySet()) {
+        byte[] value = valueOf(entry.getValue().content());
         if (items.size() == 500 || (bytes > 0 && bytes + value.length > 1_000_000)) {
           break;
         }
@@ -235,7 +254,7 @@
             .addObject()
             .put("key", entry.getKey())
             .put("value", Base64.getEncoder().encodeToString(value))
-            .put("offset", entry.getValue());
+            .put("offset", entry.getValue().offset());
       }
       node.put("more", rest.size() > items.size());
       node.put("end", topic.records.size());
