--- a/review/standins/Cell.java
+++ b/review/standins/Cell.java
@@ -15,7 +15,7 @@
   /** The port of the deploy file's metrics address, which each member binds at its own address. */
   private static final int METRICS_PORT = 9464;
 
-  private static final long RESTART_MILLIS = 1_000;
+  private static final long RESTART_MILLIS = 500;
 
   final class Member {
     final String ip;
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -21,6 +21,7 @@
   private static final long MAXIMUM_HOLD_MILLIS = 10_000;
   private static final long HEARTBEAT_MILLIS = 1_500;
   private static final long STOP_MILLIS = 50;
+  private static final long SILENCE_MILLIS = 5_000;
 
   /** One run of a task on one worker, for the checks. */
   static final class Run {
@@ -55,18 +56,22 @@
   private final String zone;
   private final String service;
   private final String rack;
-  private final long bornAt = Record.now();
-  private final long born = System.currentTimeMillis();
   private final ToLongFunction<String> durations;
+  private final List<Run> allRuns = new ArrayList<>();
+  private long sequence;
+
+  /** What the worker knows in its present life; a later life under the same id knows nothing. */
+  private long bornAt;
+  private long born;
   private final Map<String, Run> running = new LinkedHashMap<>();
   private final List<Run> ended = new ArrayList<>();
   private final Map<String, Long> highestOver = new HashMap<>();
-  private final List<Run> allRuns = new ArrayList<>();
   private long fence;
   private long lastNumber;
   private long leaseUntil;
   private long lapses;
-  private long sequence;
+  private long lives;
+  private boolean down;
   volatile int mostEndsWaiting;
 
   private Worker(
@@ -81,6 +86,58 @@
     this.service = service;
     this.rack = rack;
     this.durations = durations;
+    begin();
+  }
+
+  private void begin() {
+    bornAt = Record.now();
+    born = System.currentTimeMillis();
+    running.clear();
+    ended.clear();
+    highestOver.clear();
+    fence = 0;
+    lastNumber = 0;
+    leaseUntil = 0;
+    lives++;
+  }
+
+  /**
+   * Loses power: what runs is gone, and nothing is answered, also on open connections, until the
+   * worker is back.
+   */
+  synchronized void crash() {
+    down = true;
+    lapses++;
+    for (Run run : running.values()) {
+      run.endedAt = Record.now();
+      run.how = "crashed";
+    }
+    Record.say("%s: crashed, dark, with %d runs", id, running.size());
+    running.clear();
+  }
+
+  /** Removes the entry of a worker that has been silent for three heartbeats, as the platform does. */
+  void removeEntry() {
+    store.put("keyed.servers", id, new byte[0]);
+    Record.say("%s: entry removed", id);
+  }
+
+  /** Starts again under the same id. Its entry is written again at its usual interval. */
+  synchronized void restart() {
+    begin();
+    down = false;
+    Record.say("%s: back, born %d", id, born);
+  }
+
+  /** Returns whether a call may be answered; one to an earlier life is never answered. */
+  private boolean isAnswered(long life) {
+    return !down && life == lives;
+  }
+
+  /** Holds a call of which the worker's machine knows nothing any more, for as long as callers wait. */
+  private Http.Reply silence() throws InterruptedException {
+    Thread.sleep(SILENCE_MILLIS);
+    return Http.Reply.none();
   }
 
   /**
@@ -94,28 +151,48 @@
       throws IOException {
     Worker worker =
         new Worker(id, Http.open(ip), store, cpu, memMb, zone, service, rack, durations);
-    worker.http.on("/api/run-start", worker::start);
-    worker.http.on("/api/run-stop", worker::stop);
-    worker.http.on("/api/hold", worker::hold);
+    worker.http.on("/api/run-start", call -> worker.unlessDark(call, worker::start));
+    worker.http.on("/api/run-stop", call -> worker.unlessDark(call, worker::stop));
+    worker.http.on("/api/hold", call -> worker.unlessDark(call, worker::hold));
     Thread work = new Thread(worker::work, "work-" + id);
     work.setDaemon(true);
     work.start();
     return worker;
   }
 
-  private long clock() {
+  private Http.Reply unlessDark(Http.Call call, Http.Handler handler) throws Exception {
+    long life;
+    synchronized (this) {
+      if (down) {
+        life = -1;
+      } else {
+        life = lives;
+      }
+    }
+    if (life < 0) {
+      return silence();
+    }
+    Http.Reply reply = handler.answer(call);
+    boolean answered;
+    synchronized (this) {
+      answered = isAnswered(life);
+    }
+    return answered ? reply : silence();
+  }
+
+  private synchronized long clock() {
     return Record.now() - bornAt;
   }
 
   private void work() {
-    long nextHeartbeat = 0;
+    long nextHeartbeat = Record.now();
     try {
       while (true) {
-        if (clock() >= nextHeartbeat) {
-          nextHeartbeat = clock() + HEARTBEAT_MILLIS;
-          report();
-        }
         synchronized (this) {
+          if (!down && Record.now() >= nextHeartbeat) {
+            nextHeartbeat += HEARTBEAT_MILLIS * (1 + (Record.now() - nextHeartbeat) / HEARTBEAT_MILLIS);
+            report();
+          }
           advance();
         }
         Thread.sleep(2);
@@ -137,6 +214,9 @@
   }
 
   private void advance() {
+    if (down) {
+      return;
+    }
     if (!running.isEmpty() && clock() >= leaseUntil) {
       lapses++;
       Record.line("%s: lease lapsed with %d runs", id, running.size());
@@ -193,6 +273,9 @@
   }
 
   private synchronized Http.Reply start(Http.Call call) throws IOException {
+    if (down) {
+      return Http.Reply.none();
+    }
     JsonNode body = call.json();
     Optional<Http.Reply> refusal = refuse(call, body);
     if (refusal.isPresent()) {
@@ -258,8 +341,9 @@
       if (ended.removeIf(run -> run.number <= ackedUpto)) {
         Record.line("%s: ends up to %d acknowledged, fence %d", id, ackedUpto, fence);
       }
-      while (ended.isEmpty() && Record.now() < deadline) {
-        wait(Math.max(1, deadline - Record.now()));
+      long life = lives;
+      while (ended.isEmpty() && Record.now() < deadline && isAnswered(life)) {
+        wait(Math.max(1, Math.min(20, deadline - Record.now())));
       }
       ObjectNode node = Http.JSON.createObjectNode().put("clockMs", clock()).put("born", born);
       ArrayNode runningRows = node.putArray("running");
@@ -285,6 +369,10 @@
     return running.keySet().stream().mapToLong(demand).sum();
   }
 
+  synchronized boolean isRunning(String task) {
+    return running.containsKey(task);
+  }
+
   synchronized int runningCount() {
     return running.size();
   }
