--- a/review/standins/Cell.java
+++ b/review/standins/Cell.java
@@ -22,7 +22,7 @@
     final String name;
     final Path settings;
     private Process process;
-    private volatile boolean ended;
+    private boolean ended;
 
     private Member(String ip, String name, Path settings) {
       this.ip = ip;
@@ -39,6 +39,9 @@
     }
 
     synchronized void start() throws IOException {
+      if (ended) {
+        return;
+      }
       ProcessBuilder builder = new ProcessBuilder(command);
       builder.environment().put("HYSSOPPORT_NODE_FILE", settings.toString());
       builder.directory(root.toFile());
@@ -63,9 +66,7 @@
                 try {
                   process.waitFor();
                   Thread.sleep(RESTART_MILLIS);
-                  if (!ended) {
-                    start();
-                  }
+                  start();
                 } catch (IOException | InterruptedException e) {
                   Record.line("%s: not restarted: %s", name, e);
                 }
@@ -148,6 +149,7 @@
   static Cell start(Path root, Path folder, String network, int count, Store store)
       throws IOException {
     Cell cell = new Cell(root, folder, deployCommand(root), store);
+    Runtime.getRuntime().addShutdownHook(new Thread(cell::end));
     cell.frontPort = freePort(network, count, 1);
     cell.readyPort = freePort(network, count, 1);
     cell.peerPort = freePort(network, count, 16);
--- a/review/standins/EndsPageCase.java
+++ b/review/standins/EndsPageCase.java
@@ -12,7 +12,8 @@
 
 /**
  * Many small tasks work on a worker when the store goes down. Until it is back, no end can be
- * acknowledged, and more tasks end than one answer of the worker lists.
+ * acknowledged, and more tasks end than one answer of the worker lists. With TROUBLE=kill, the
+ * process of the scheduler is killed instead, and the tasks end while there is none.
  */
 final class EndsPageCase {
 
@@ -22,15 +23,19 @@
   private static final long TASK_CPU = 50;
   private static final long SHORTEST_MILLIS = 6_000;
   private static final long LONGEST_MILLIS = 9_000;
+  private static final long LONGEST_MILLIS_BESIDE_KILL = 6_700;
   private static final long DOWN_MILLIS = 4_000;
   private static final long LIMIT_MILLIS = 80_000;
 
+  private static boolean kill;
+
   private EndsPageCase() {}
 
   public static void main(String[] arguments) throws Exception {
     Path root = Path.of(arguments[0]);
     Path folder = Path.of(arguments[1]);
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    kill = "kill".equals(System.getenv("TROUBLE"));
     Record.open(Path.of(arguments[2]));
     int result = 2;
     Cell cell = null;
@@ -64,8 +69,9 @@
     String[] parts = task.split("\\.");
     int job = Integer.parseInt(parts[0].substring(8), 16);
     int number = job * TASKS + Integer.parseInt(parts[3]);
+    long longest = kill ? LONGEST_MILLIS_BESIDE_KILL : LONGEST_MILLIS;
     return SHORTEST_MILLIS
-        + (LONGEST_MILLIS - SHORTEST_MILLIS) * (number * 7L % (JOBS * TASKS)) / (JOBS * TASKS);
+        + (longest - SHORTEST_MILLIS) * (number * 7L % (JOBS * TASKS)) / (JOBS * TASKS);
   }
 
   private static void putConfiguration(Store store) throws IOException {
@@ -114,7 +120,12 @@
     if (allRuns(workers).size() < JOBS * TASKS) {
       return 2;
     }
-    if (trouble) {
+    if (kill) {
+      TimeUnit.MILLISECONDS.sleep(Math.max(0, firstEnd - 50 - Record.now()));
+      Cell.Member leader = cell.leader();
+      leader.restartLater();
+      leader.signal("KILL");
+    } else if (trouble) {
       TimeUnit.MILLISECONDS.sleep(Math.max(0, firstEnd + 200 - Record.now()));
       store.setDown(true);
       Record.say("store down");
