--- a/review/standins/LargeBatchCase.java
+++ b/review/standins/LargeBatchCase.java
@@ -133,6 +133,7 @@
         && Record.now() < startedBy) {
       Thread.sleep(50);
     }
+    Thread.sleep(6_000);
     Record.say("%d large jobs accepted, %d tasks started, %d working, largest append %d bytes",
         accepted.size(), runs(workers), working(workers), store.largestAppend);
     if (accepted.size() < LARGE_JOBS) {
