Let simulated restarts be listed late, and answers to orders state the clock

The simulation showed each restart in the live list at once and its answers to orders stated no clock, so a scheduler never met an incarnation that it did not know for longer than 0.5 s. The platform's workers write their entries every 1.5 s and state their clock in every answer with a body.

Change: SimulatedWorker.setEntryDelay keeps the entry of before for some time after a crash or restart (none by default), and SchedulerHost passes the worker's clock on with the answer to an order.

Measured: no test uses the delay yet; CellSchedulerTests is green with it unset.

--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -289,7 +289,7 @@
     SimulatedWorker target = workers.find(worker.id());
     if (!target.canAnswer()) {
       simulation.recordUndeliverableOrder(worker.id(), run);
-      answerOrder(worker, run, start, OrderResult.NOT_SENT, ANSWER_TIMEOUT_MILLIS);
+      answerOrder(worker, run, start, OrderResult.NOT_SENT, Optional.empty());
       return;
     }
     OrderFaults.Delivery delivery = faults.drawDelivery(random);
@@ -297,14 +297,14 @@
       long delay = faults.drawDelayMillis(random);
       long incarnation = target.describe().incarnation();
       time.afterMillis(delay, () -> carryOutLate(target, incarnation, order));
-      answerOrder(worker, run, start, OrderResult.UNANSWERED, ANSWER_TIMEOUT_MILLIS);
+      answerOrder(worker, run, start, OrderResult.UNANSWERED, Optional.empty());
       return;
     }
     OrderResult result = order.carryOut();
     if (delivery == OrderFaults.Delivery.LOST_ANSWER) {
-      answerOrder(worker, run, start, OrderResult.UNANSWERED, ANSWER_TIMEOUT_MILLIS);
+      answerOrder(worker, run, start, OrderResult.UNANSWERED, Optional.empty());
     } else {
-      answerOrder(worker, run, start, result, NETWORK_DELAY_MILLIS);
+      answerOrder(worker, run, start, result, Optional.of(target.clockMillis()));
     }
   }
 
@@ -318,13 +318,17 @@
   }
 
   private void answerOrder(
-      WorkerDescription worker, RunId run, boolean start, OrderResult result, long afterMillis) {
+      WorkerDescription worker,
+      RunId run,
+      boolean start,
+      OrderResult result,
+      Optional<Long> clockMillis) {
     time.afterMillis(
-        afterMillis,
+        result.isAnswer() ? NETWORK_DELAY_MILLIS : ANSWER_TIMEOUT_MILLIS,
         () ->
             handle(
                 new SchedulerEvent.OrderFinished(
-                    worker.id(), worker.incarnation(), run, start, result, Optional.empty())));
+                    worker.id(), worker.incarnation(), run, start, result, clockMillis)));
   }
 
   private void poll(SchedulerEffect.Poll poll) {
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
@@ -51,6 +51,8 @@
   private Instant leaseUntil = Instant.MIN;
   private long newestTerm;
   private long lastEndNumber;
+  private Duration entryDelay = Duration.ZERO;
+  private Optional<OutdatedEntry> outdatedEntry = Optional.empty();
   private boolean reachable = true;
   private boolean up = true;
   private boolean draining;
@@ -78,6 +80,9 @@
   /** A run in progress; {@code endsAt} is empty if the run hangs. */
   record ActiveRun(RunId runId, StepDefinition step, Instant startedAt, Optional<Instant> endsAt) {}
 
+  /** What the live list shows of the worker until an instant, although it is no longer true. */
+  private record OutdatedEntry(WorkerDescription description, Instant until) {}
+
   /** Returns the worker's id. */
   public WorkerId id() {
     return id;
@@ -97,6 +102,26 @@
         draining);
   }
 
+  /** Returns the worker's entry in the live list, if it has one. */
+  Optional<WorkerDescription> listedEntry() {
+    Optional<WorkerDescription> outdated =
+        outdatedEntry
+            .filter(entry -> time.now().isBefore(entry.until()))
+            .map(OutdatedEntry::description);
+    return outdated.isPresent() ? outdated : Optional.of(describe()).filter(entry -> up);
+  }
+
+  /** Sets for how long after a crash or restart the live list shows the worker as it was before. */
+  public void setEntryDelay(Duration delay) {
+    entryDelay = delay;
+  }
+
+  private void keepEntry(WorkerDescription description) {
+    if (!entryDelay.isZero()) {
+      outdatedEntry = Optional.of(new OutdatedEntry(description, time.now().plus(entryDelay)));
+    }
+  }
+
   boolean isUp() {
     return up;
   }
@@ -135,6 +160,7 @@
 
   /** Ends the worker and all of its runs without reporting their ends. */
   public void crash() {
+    listedEntry().ifPresent(this::keepEntry);
     up = false;
     workers.runChecker().discardUnacknowledged(id);
     for (ActiveRun activeRun : List.copyOf(running.values())) {
@@ -147,6 +173,7 @@
 
   /** Restarts the worker under the same id with a new incarnation and no memory of earlier runs. */
   public void restart() {
+    listedEntry().ifPresent(this::keepEntry);
     up = true;
     bootedAt = time.now();
     incarnation = bootedAt.toEpochMilli();
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorkers.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorkers.java
@@ -128,7 +128,7 @@
   }
 
   private static List<WorkerDescription> describe(List<SimulatedWorker> workers) {
-    return workers.stream().filter(SimulatedWorker::isUp).map(SimulatedWorker::describe).toList();
+    return workers.stream().map(SimulatedWorker::listedEntry).flatMap(Optional::stream).toList();
   }
 
   Duration workDuration(TaskId task, StepDefinition step) {
