Wait for the longest lease that a restarted worker may hold

Nobody reported it; found by reading and shown by tests.

What callers would see: a task that runs in two places. A start or poll that was meant for the earlier incarnation states the end of its lease by that one's clock. To the next incarnation, whose clock starts anew, this end is far away, and it cuts the lease to the longest that a worker may hold, 10 s instead of our 6 s.

Cause: (1) When the live list showed the restart, the new TrackedWorker got the inherited lease of the term's beginning, long past, so the next tick (20 ms) released the runs that were being stopped there and started them elsewhere, whether or not the new incarnation was running them. (2) When a report showed it, the lease of the earlier incarnation applied, 6 s, and the new incarnation may hold its runs for 10 s if it is cut off.

Change: a restarted worker's runs count as over no earlier than 10 s on the slowest clock, and the margin for delivery, after the restart was discovered; 13 s and the margin for runs that were inherited. A report of the new incarnation still settles its runs at once.

Cost: the tasks of a worker that restarts and then stays silent wait 10.5 s instead of 6.2 s, or 0.02 s where the list showed it.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
@@ -110,6 +110,9 @@
       workers.put(unlisted);
       found = Optional.of(unlisted);
     }
+    if (found.get().description().incarnation() != task.incarnation()) {
+      found.get().extendInheritedLease(context.inheritedLeaseOfLaterIncarnationUntil());
+    }
     found.get().add(TrackedRun.of(runId, step, RunPhase.INHERITED, context.now()));
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerContext.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerContext.java
@@ -44,6 +44,19 @@
     return now.plus(settings.longestInheritedLease());
   }
 
+  /**
+   * Returns when a lease has expired that a later incarnation of a worker was just given by the
+   * clock of an earlier one.
+   */
+  Instant leaseOfLaterIncarnationUntil() {
+    return now.plus(settings.longestLeaseOfLaterIncarnation());
+  }
+
+  /** Returns the same for a lease that an earlier scheduler may just have granted. */
+  Instant inheritedLeaseOfLaterIncarnationUntil() {
+    return now.plus(settings.longestInheritedLeaseOfLaterIncarnation());
+  }
+
   /** Requests a placement pass, after a change that may let a waiting task start. */
   void requestPlacement() {
     placementRequested = true;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerSettings.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerSettings.java
@@ -6,13 +6,18 @@
  * The time limits of the scheduler.
  *
  * @param lease how long the runs of a worker continue without contact with the scheduler
+ * @param longestLease the longest lease that workers accept; they cut a longer one to it
  * @param storeOutageTolerance how long leases are still extended after the last answer of the store
  * @param gangWindow how long the started tasks of a gang wait for the others to start
  * @param retention how long the state of an ended job is kept
  * @since 0.2
  */
 public record SchedulerSettings(
-    Duration lease, Duration storeOutageTolerance, Duration gangWindow, Duration retention) {
+    Duration lease,
+    Duration longestLease,
+    Duration storeOutageTolerance,
+    Duration gangWindow,
+    Duration retention) {
 
   /**
    * Outlasts a usual network cut of 5.5 s. The tasks of a lost worker wait for the same time before
@@ -30,7 +35,8 @@
   public static SchedulerSettings of(
       Duration longestLease, Duration gangWindow, Duration retention) {
     Duration lease = LEASE.compareTo(longestLease) < 0 ? LEASE : longestLease;
-    return new SchedulerSettings(lease, STORE_OUTAGE_TOLERANCE, gangWindow, retention);
+    return new SchedulerSettings(
+        lease, longestLease, STORE_OUTAGE_TOLERANCE, gangWindow, retention);
   }
 
   /**
@@ -39,7 +45,24 @@
    * allows.
    */
   Duration longestInheritedLease() {
-    double millis = (lease.toMillis() + storeOutageTolerance.toMillis()) / 0.98;
+    return onSlowestClock(lease.plus(storeOutageTolerance));
+  }
+
+  /**
+   * Returns how long a later incarnation of a worker may hold a lease that it was just given by the
+   * clock of an earlier one: it cuts the lease to the longest that it accepts.
+   */
+  Duration longestLeaseOfLaterIncarnation() {
+    return onSlowestClock(longestLease);
+  }
+
+  /** Returns the same for a lease that an earlier scheduler granted when this one takes over. */
+  Duration longestInheritedLeaseOfLaterIncarnation() {
+    return onSlowestClock(longestLease.plus(storeOutageTolerance));
+  }
+
+  private static Duration onSlowestClock(Duration span) {
+    double millis = span.toMillis() / 0.98;
     return Duration.ofMillis((long) millis).plus(INHERITANCE_MARGIN);
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerIncarnations.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerIncarnations.java
@@ -57,20 +57,26 @@
     if (comparison == 0) {
       found.get().updateDescription(description);
     } else if (comparison > 0) {
-      replace(found.get(), description, context.inheritedLeaseUntil());
+      replace(found.get(), description);
     }
   }
 
   /**
    * Replaces the tracked incarnation of a worker by a later one that has not reported yet.
    *
-   * @param earlier the tracked incarnation
-   * @param later the description of the later one
-   * @param inheritedLeaseUntil when the runs that the later one may hold have surely ended
+   * <p>Orders and polls that were meant for the earlier incarnation may have reached the later one.
+   * Their leases end by the clock of the earlier one, so the later one holds its runs for as long
+   * as a worker may.
    */
-  void replace(TrackedWorker earlier, WorkerDescription later, Instant inheritedLeaseUntil) {
+  void replace(TrackedWorker earlier, WorkerDescription later) {
     logRestart(earlier, Map.of("incarnation", later.incarnation()));
-    TrackedWorker restarted = TrackedWorker.withoutReport(later, inheritedLeaseUntil);
+    TrackedWorker restarted = TrackedWorker.withoutReport(later, earlier.leaseExpiresAt());
+    boolean inheritsRuns =
+        earlier.runs().stream().anyMatch(run -> run.phase() == RunPhase.INHERITED);
+    restarted.extendInheritedLease(
+        inheritsRuns
+            ? context.inheritedLeaseOfLaterIncarnationUntil()
+            : context.leaseOfLaterIncarnationUntil());
     workers.put(restarted);
     transferRuns(earlier, restarted);
     stopUnansweredStarts(restarted);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerPoller.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerPoller.java
@@ -133,8 +133,7 @@
   private void applyReport(
       TrackedWorker worker, WorkerRunReport report, SchedulerEvent.WorkerPolled polled) {
     if (report.incarnation() != polled.incarnation()) {
-      incarnations.replace(
-          worker, worker.description().restartedAs(report.incarnation()), worker.leaseExpiresAt());
+      incarnations.replace(worker, worker.description().restartedAs(report.incarnation()));
       return;
     }
     if (incarnations.detectReplacement(worker, report, polled.sentAt())) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
@@ -39,7 +39,7 @@
   /** The latest end of a lease that this scheduler granted, by the clock of the worker. */
   private long leaseGrantedUntilMillis;
 
-  private final Instant inheritedLeaseUntil;
+  private Instant inheritedLeaseUntil;
   private Instant leaseExpiresAt;
   private long processedEndNumber;
   private long storedEndNumber;
@@ -264,6 +264,19 @@
     updateLeaseExpiry();
   }
 
+  /**
+   * Records that leases granted through an earlier incarnation or scheduler may last longer than
+   * was known.
+   */
+  public void extendInheritedLease(Instant until) {
+    if (until.isAfter(inheritedLeaseUntil)) {
+      inheritedLeaseUntil = until;
+    }
+    if (until.isAfter(leaseExpiresAt)) {
+      leaseExpiresAt = until;
+    }
+  }
+
   private void updateLeaseExpiry() {
     if (reportReceived && clock.isPresent()) {
       Instant ownLeaseExpiry =
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
@@ -22,6 +22,7 @@
 import org.hyssopport.engine.worker.RunId;
 import org.hyssopport.engine.worker.WorkerRunReport;
 import org.hyssopport.engine.worker.WorkerRunReport.EndedRun;
+import org.hyssopport.engine.worker.WorkerRunReport.RunningRun;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -277,6 +278,70 @@
     }
   }
 
+  @Nested
+  class Leases {
+
+    /**
+     * The end of a lease by the clock of the earlier incarnation is cut to 10 s by the later one.
+     */
+    private static final Duration LONGEST_LEASE = Duration.ofSeconds(10);
+
+    private List<RunId> startsElsewhereAfter(Duration wait) {
+      feed(
+          new SchedulerEvent.LiveListReceived(
+              List.of(worker(WORKER, 2), worker(OTHER_WORKER, 1)), Set.of()));
+      WorkerRunReport report = new WorkerRunReport(1, FIRST_CLOCK, List.of(), List.of());
+      feed(
+          new SchedulerEvent.WorkerPolled(
+              OTHER_WORKER, 1, now, 0, new PollResult.Reported(report)));
+      return startsAfter(wait);
+    }
+
+    // The task was started elsewhere at once although the new incarnation was running it.
+    @ParameterizedTest
+    @EnumSource(Discovery.class)
+    void lastAsLongAsTheNewIncarnationMayHold(Discovery discovery) {
+      now = now.plusSeconds(20);
+      answerPoll(
+          now, 0, new WorkerRunReport(1, FIRST_CLOCK, List.of(new RunningRun(RUN, "")), List.of()));
+      discovery.discover(CellSchedulerRestartedWorkerTests.this);
+      assertEquals(List.of(), startsElsewhereAfter(Duration.ofMillis(20)));
+      assertEquals(List.of(), startsAfter(LONGEST_LEASE.minusMillis(100)));
+      assertEquals(List.of(new RunId(RUN.task(), 2)), startsAfter(Duration.ofSeconds(1)));
+    }
+
+    // A start with the clock of the earlier incarnation gave the next one 10 s instead of 6 s.
+    @ParameterizedTest
+    @EnumSource(Discovery.class)
+    void alsoLastThatLongOnceTheNewIncarnationHasReported(Discovery discovery) {
+      now = now.plusSeconds(20);
+      answerStart(RUN, OrderResult.DONE, SECOND_CLOCK);
+      discovery.discover(CellSchedulerRestartedWorkerTests.this);
+      WorkerRunReport report =
+          new WorkerRunReport(2, SECOND_CLOCK, List.of(new RunningRun(RUN, "")), List.of());
+      feed(new SchedulerEvent.WorkerPolled(WORKER, 2, now, 0, new PollResult.Reported(report)));
+      assertEquals(List.of(), startsElsewhereAfter(LONGEST_LEASE.minusMillis(100)));
+      assertEquals(List.of(new RunId(RUN.task(), 2)), startsAfter(Duration.ofSeconds(1)));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Discovery.class)
+    void areNotExtendedByTheClockOfTheEarlierIncarnation(Discovery discovery) {
+      answerStart(RUN, OrderResult.DONE, SECOND_CLOCK);
+      List<SchedulerEffect> effects =
+          new ArrayList<>(discovery.discover(CellSchedulerRestartedWorkerTests.this));
+      effects.addAll(startPolls());
+      assertTrue(
+          select(effects, SchedulerEffect.Poll.class).stream()
+              .allMatch(poll -> poll.leaseUntil().isEmpty()));
+    }
+
+    private List<SchedulerEffect> startPolls() {
+      now = now.plusSeconds(6);
+      return feed(new SchedulerEvent.Ticked());
+    }
+  }
+
   @Nested
   class CallsInFlight {
 
@@ -362,5 +427,13 @@
       effects.addAll(feed(new SchedulerEvent.Ticked()));
       assertEquals(Set.of(0L), Set.copyOf(acknowledgements(effects)));
     }
+
+    // Its start, sent with the clock of the earlier incarnation, gave the next one 10 s; the former
+    // scheduler may have sent it 3 s after this one took over.
+    @Test
+    void startNowhereElseWhileTheNewIncarnationMayHoldThem() {
+      assertEquals(List.of(), startsAfter(Duration.ofMillis(13_200)));
+      assertEquals(List.of(new RunId(RUN.task(), 2)), startsAfter(Duration.ofSeconds(1)));
+    }
   }
 }
