Remember unanswered starts also if their worker is known to have restarted

Found by reading and shown by a test; nobody reported it.

What callers would see: a task that runs twice. A start without an answer may still arrive; it is remembered for 15 s, and stopped on each later incarnation of its worker, so that it is refused there.

Cause: the result of an order is dropped if the tracked incarnation is no longer the one that was addressed, and with it the memory of a start without an answer. If the second incarnation had confirmed the stop of its run by then, nothing stopped it on a third.

Change: the start is remembered before the incarnation is looked up.

Measured: CellSchedulerRestartedWorkerTests.CallsInFlight.stopUnansweredStartsOnEachLaterIncarnation, red before (no stop on the third incarnation), green now.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -516,6 +516,9 @@
                   + " refused an order of this term: it has accepted a newer term"));
       return;
     }
+    if (order.isStart() && order.result() == OrderResult.UNANSWERED) {
+      incarnations.recordUnansweredStart(order.worker(), order.run());
+    }
     Optional<TrackedWorker> found = workers.find(order.worker(), order.incarnation());
     if (found.isEmpty()) {
       return;
@@ -532,9 +535,6 @@
     if (order.result() == OrderResult.NO_TICKET) {
       placement.onTicketRefused(order.run().task().step());
     }
-    if (order.isStart() && order.result() == OrderResult.UNANSWERED) {
-      incarnations.recordUnansweredStart(order.worker(), order.run());
-    }
     if (order.isStart()) {
       runManager.onStartResult(worker, order.run(), order.result());
     } else {
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
@@ -357,6 +357,22 @@
       assertTrue(isStoppedOnIncarnation(effects, 2));
     }
 
+    // A start without an answer was forgotten if the restart of its worker was already known; a
+    // third incarnation could run it.
+    @Test
+    void stopUnansweredStartsOnEachLaterIncarnation() {
+      list(2);
+      feed(
+          new SchedulerEvent.OrderFinished(
+              WORKER, 2, RUN, false, OrderResult.DONE, Optional.of(SECOND_CLOCK)));
+      WorkerRunReport report = new WorkerRunReport(2, SECOND_CLOCK, List.of(), List.of());
+      feed(
+          new SchedulerEvent.WorkerPolled(
+              WORKER, 2, now.plusMillis(1), 0, new PollResult.Reported(report)));
+      answerStart(RUN, OrderResult.UNANSWERED, 0);
+      assertTrue(isStoppedOnIncarnation(list(3), 3));
+    }
+
     @Test
     void toTheEarlierIncarnationConfirmNoStopOnTheNewOne() {
       list(2);
