Ask for advice anew once a worker has restarted

Found while listing what the scheduler keeps by a worker's id; shown by tests, not reported.

What callers would see: a job that waits although a worker could run it.

Cause: StepAdvice kept by worker id which workers a step had asked about and which were good. A worker that was not good was never asked about again for that step, also after a restart. One that had been good was taken for good after its restart, and if it had room for all tasks, the step asked about it alone, time and again.

Change: both are kept with the incarnation that was known when the call was queued, so that a restarted worker is one that has not been asked about. Tickets were already bound to their incarnation, and workers refuse one of another.

Measured: CellSchedulerRestartedWorkerTests.Advice, 3 of 3 red before, green now; PeakLoadTests and OutageReplayTests green.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceCall.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceCall.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.hyssopport.engine.job.StepId;
 import org.hyssopport.engine.platform.WorkerId;
 
@@ -11,7 +14,8 @@
  *
  * @param number the number of the call, unique within a scheduler's term
  * @param step the step whose tasks have to be placed
- * @param workers the workers that the call asks about
+ * @param incarnations the workers that the call asks about, in their order, with the incarnation of
+ *     each that was known when the call was queued
  * @param priority the priority of the step's queue
  * @param startBy the time by which the step has to start for its job to meet its objective
  * @param expectedDuration how long the call is expected to take
@@ -20,7 +24,18 @@
 public record AdviceCall(
     long number,
     StepId step,
-    List<WorkerId> workers,
+    Map<WorkerId, Long> incarnations,
     int priority,
     Instant startBy,
-    Duration expectedDuration) {}
+    Duration expectedDuration) {
+
+  /** Copies the map of incarnations, in its order. */
+  public AdviceCall {
+    incarnations = Collections.unmodifiableMap(new LinkedHashMap<>(incarnations));
+  }
+
+  /** Returns the workers that the call asks about, in their order. */
+  public List<WorkerId> workers() {
+    return List.copyOf(incarnations.keySet());
+  }
+}
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/StepAdvice.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/StepAdvice.java
@@ -2,26 +2,23 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.hyssopport.engine.platform.WorkerId;
 
 /**
  * The answers of the advice service about the workers that the tasks of one step may run on.
  *
  * <p>A worker is good for the step if the service allows the step's tasks to run on it. This never
- * changes; only the tickets expire.
+ * changes during one incarnation of the worker; only the tickets expire.
  *
  * @since 0.2
  */
 public final class StepAdvice {
 
-  private final Set<WorkerId> askedAbout = new HashSet<>();
+  private final Map<WorkerId, Long> askedIncarnations = new HashMap<>();
   private final Map<WorkerId, Ticket> ticketsByWorker = new HashMap<>();
   private Instant latestExpiry = Instant.MIN;
 
@@ -35,20 +32,27 @@
   /**
    * Records an answer.
    *
-   * @param workers the workers that the call asked about
+   * @param asked the workers that the call asked about, with the incarnation known at that time
    * @param answer the tickets of the good ones among them
    */
-  public void recordAnswer(List<WorkerId> workers, Map<WorkerId, Ticket> answer) {
-    askedAbout.addAll(workers);
+  public void recordAnswer(Map<WorkerId, Long> asked, Map<WorkerId, Ticket> answer) {
+    asked.forEach(this::forgetOtherIncarnation);
+    askedIncarnations.putAll(asked);
     ticketsByWorker.putAll(answer);
     for (Ticket ticket : answer.values()) {
       latestExpiry = ticket.expiresAt().isAfter(latestExpiry) ? ticket.expiresAt() : latestExpiry;
     }
   }
 
-  /** Returns whether an answer about the worker was recorded before. */
-  public boolean wasAskedAbout(WorkerId worker) {
-    return askedAbout.contains(worker);
+  private void forgetOtherIncarnation(WorkerId worker, long incarnation) {
+    if (!wasAskedAbout(worker, incarnation)) {
+      ticketsByWorker.remove(worker);
+    }
+  }
+
+  /** Returns whether an answer about an incarnation of a worker was recorded before. */
+  public boolean wasAskedAbout(WorkerId worker, long incarnation) {
+    return Long.valueOf(incarnation).equals(askedIncarnations.get(worker));
   }
 
   /** Returns the workers whose tickets are still valid at an instant. */
@@ -66,9 +70,9 @@
     return usable;
   }
 
-  /** Returns the good workers, including those whose tickets have expired. */
-  public Set<WorkerId> goodWorkers() {
-    return Collections.unmodifiableSet(ticketsByWorker.keySet());
+  /** Returns whether an incarnation of a worker is good, also if its ticket has expired. */
+  public boolean isGood(WorkerId worker, long incarnation) {
+    return wasAskedAbout(worker, incarnation) && ticketsByWorker.containsKey(worker);
   }
 
   /**
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -4,10 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.hyssopport.engine.advice.AdviceCall;
 import org.hyssopport.engine.advice.AdviceDispatcher;
 import org.hyssopport.engine.advice.AdviceWorkerSelector;
@@ -245,7 +245,7 @@
         new AdviceCall(
             lastCallNumber,
             step.id(),
-            selected,
+            incarnationsOf(selected),
             queue.priority(),
             step.job().objective().minus(step.definition().estimate()),
             policy.callTime(selected.size())));
@@ -253,15 +253,23 @@
         "advice wanted", step.id(), Map.of("call", lastCallNumber, "workers", selected.size()));
   }
 
+  private Map<WorkerId, Long> incarnationsOf(List<WorkerId> ids) {
+    Map<WorkerId, Long> incarnations = new LinkedHashMap<>();
+    for (WorkerId id : ids) {
+      incarnations.put(id, workers.find(id).orElseThrow().description().incarnation());
+    }
+    return incarnations;
+  }
+
   private List<WorkerId> selectWorkersForAdvice(
       Step step, int tasks, StepAdvice stepAdvice, AdvicePolicy policy) {
-    Set<WorkerId> goodIds = stepAdvice.goodWorkers();
     List<TrackedWorker> availableGood = new ArrayList<>();
     List<TrackedWorker> availableUnknown = new ArrayList<>();
     for (TrackedWorker worker : availableWorkers) {
-      if (goodIds.contains(worker.id())) {
+      long incarnation = worker.description().incarnation();
+      if (stepAdvice.isGood(worker.id(), incarnation)) {
         availableGood.add(worker);
-      } else if (!stepAdvice.wasAskedAbout(worker.id())) {
+      } else if (!stepAdvice.wasAskedAbout(worker.id(), incarnation)) {
         availableUnknown.add(worker);
       }
     }
@@ -318,12 +326,14 @@
         adviceByStep.computeIfAbsent(answeredCall.step(), each -> StepAdvice.empty());
     List<WorkerId> newlyAsked =
         answeredCall.workers().stream()
-            .filter(worker -> !stepAdvice.wasAskedAbout(worker))
+            .filter(
+                worker ->
+                    !stepAdvice.wasAskedAbout(worker, answeredCall.incarnations().get(worker)))
             .toList();
     int good = (int) newlyAsked.stream().filter(tickets::containsKey).count();
     jobs.findStep(answeredCall.step())
         .ifPresent(step -> goodShare(step).recordAnswer(newlyAsked.size(), good));
-    stepAdvice.recordAnswer(answeredCall.workers(), tickets);
+    stepAdvice.recordAnswer(answeredCall.incarnations(), tickets);
   }
 
   /** Expires the tickets of a step after a worker refused one of them. */
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/advice/AdviceTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/advice/AdviceTests.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.hyssopport.engine.job.AdvicePolicy;
@@ -111,7 +112,7 @@
       return new AdviceCall(
           number,
           new StepId(new JobId(String.format("%016x", number)), 0, 0),
-          List.of(),
+          Map.of(),
           priority,
           NOW.plusMillis(startInMillis),
           Duration.ofMillis(millis));
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
@@ -54,7 +54,7 @@
     return job(ID, Optional.empty(), acceptedAt);
   }
 
-  private static JobDefinition job(JobId id, Optional<AdvicePolicy> advice, Instant acceptedAt) {
+  static JobDefinition job(JobId id, Optional<AdvicePolicy> advice, Instant acceptedAt) {
     StepDefinition step =
         new StepDefinition(
             1,
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
@@ -8,9 +8,13 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.hyssopport.engine.advice.AdviceCall;
+import org.hyssopport.engine.advice.Ticket;
+import org.hyssopport.engine.job.AdvicePolicy;
 import org.hyssopport.engine.job.JobProgress;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
@@ -396,6 +400,75 @@
     }
   }
 
+  /** An answer of the advice service holds for one incarnation: the next may be of another kind. */
+  @Nested
+  class Advice {
+
+    private static final AdvicePolicy POLICY =
+        new AdvicePolicy(Duration.ofMillis(10), Duration.ofMillis(1), Duration.ofSeconds(2));
+
+    private List<AdviceCall> callsOnSubmission() {
+      feed(new SchedulerEvent.MembersChanged(Set.of("member")));
+      return calls(submit(new CallerRequest.Submit(job(OTHER_ID, Optional.of(POLICY), now))));
+    }
+
+    private List<AdviceCall> calls(List<SchedulerEffect> effects) {
+      return select(effects, SchedulerEffect.RequestAdvice.class).stream()
+          .map(SchedulerEffect.RequestAdvice::call)
+          .toList();
+    }
+
+    private List<AdviceCall> answer(AdviceCall call, Map<WorkerId, Ticket> tickets) {
+      List<SchedulerEffect> effects =
+          new ArrayList<>(
+              feed(new SchedulerEvent.AdviceCallFinished(call.number(), Optional.of(tickets))));
+      now = now.plusMillis(100);
+      effects.addAll(feed(new SchedulerEvent.Ticked()));
+      return calls(effects);
+    }
+
+    private List<AdviceCall> callsOnceRestarted() {
+      list(2);
+      WorkerRunReport report = new WorkerRunReport(2, SECOND_CLOCK, List.of(), List.of());
+      List<SchedulerEffect> effects =
+          new ArrayList<>(
+              feed(
+                  new SchedulerEvent.WorkerPolled(
+                      WORKER, 2, now, 0, new PollResult.Reported(report))));
+      now = now.plusMillis(100);
+      effects.addAll(feed(new SchedulerEvent.Ticked()));
+      return calls(effects);
+    }
+
+    // A task whose workers were all found unsuitable was never placed, although one of them had
+    // restarted as another kind.
+    @Test
+    void isRequestedAgainIfTheWorkerWasUnsuitable() {
+      AdviceCall first = callsOnSubmission().get(0);
+      assertEquals(List.of(), answer(first, Map.of()));
+      List<AdviceCall> next = callsOnceRestarted();
+      assertEquals(List.of(List.of(WORKER)), next.stream().map(AdviceCall::workers).toList());
+    }
+
+    // Only the worker that had been suitable before its restart was asked about, time and again.
+    @Test
+    void isNotRequestedForeverIfTheNewIncarnationIsUnsuitable() {
+      AdviceCall first = callsOnSubmission().get(0);
+      AdviceCall second = answer(first, Map.of(WORKER, new Ticket("expired", 1, now))).get(0);
+      callsOnceRestarted();
+      AdviceCall third = answer(second, Map.of()).get(0);
+      assertEquals(List.of(), answer(third, Map.of()));
+    }
+
+    @Test
+    void thatWasRequestedBeforeTheRestartDoesNotHoldAfterwards() {
+      AdviceCall first = callsOnSubmission().get(0);
+      callsOnceRestarted();
+      List<AdviceCall> next = answer(first, Map.of());
+      assertEquals(List.of(List.of(WORKER)), next.stream().map(AdviceCall::workers).toList());
+    }
+  }
+
   /** What a scheduler that takes over reads in the journal may be of an earlier incarnation. */
   @Nested
   class RunsOfFormerSchedulers {
