Withhold acknowledgements only while a start is in flight

A start without an answer kept the ends of its worker from being acknowledged until a report listed the run as running, or the run was over. By reading: if such a run had ended, and its end had to wait for the acknowledgement of others, neither would come. Once the answer is given up, the rule for calls without an answer suffices: a report that is requested afterwards shows the incarnation.

Change: a run tells whether the result of its start order is awaited; an order without an answer makes the incarnation doubtful, as a poll without one does.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -105,6 +105,10 @@
       return;
     }
     TrackedRun trackedRun = found.get();
+    trackedRun.recordStartResult();
+    if (!result.isAnswer()) {
+      worker.recordDoubtfulIncarnation(context.now());
+    }
     switch (result) {
       case DONE -> {
         trackedRun.recordStartConfirmed(context.now());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedRun.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedRun.java
@@ -21,6 +21,7 @@
   private Optional<Instant> startConfirmedAt = Optional.empty();
   private Optional<Instant> stopConfirmedAt = Optional.empty();
   private int startsSent;
+  private boolean startInFlight;
   private Optional<Long> workerClockWhenOrdered = Optional.empty();
   private Instant lastOrderAt = Instant.MIN;
   private Optional<Instant> reportNeededSince = Optional.empty();
@@ -128,9 +129,14 @@
     return workerClockWhenOrdered;
   }
 
-  /** Returns whether a start order was sent of which it is not known where it took effect. */
-  public boolean isStartUnconfirmed() {
-    return startsSent > 0 && startConfirmedAt.isEmpty();
+  /** Returns whether the result of a start order is awaited. */
+  public boolean isStartInFlight() {
+    return startInFlight;
+  }
+
+  /** Records that the result of the start order in flight is known; it may be no answer. */
+  public void recordStartResult() {
+    startInFlight = false;
   }
 
   /**
@@ -140,6 +146,7 @@
     phase = RunPhase.ORDERED;
     reportNeededSince = Optional.empty();
     startsSent++;
+    startInFlight = true;
     workerClockWhenOrdered = workerClockMillis;
     lastOrderAt = now;
   }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
@@ -313,8 +313,9 @@
    * Returns the number up to which the next poll may acknowledge ends, or 0 for none.
    *
    * <p>A later incarnation numbers its ends anew and forgets those that any call acknowledges. It
-   * can have ended a run only if a start order reached it, so nothing is acknowledged while one may
-   * have, nor again once this incarnation has answered.
+   * can have ended a run only if a start order reached it. So nothing is acknowledged while one is
+   * in flight, after a call without an answer until this incarnation has reported, nor again once
+   * this incarnation has answered.
    */
   public long endNumberToAcknowledge() {
     return hasEndsToAcknowledge() && mayAcknowledgeEnds() ? storedEndNumber : 0;
@@ -322,8 +323,7 @@
 
   /** Returns whether an acknowledgement would reach this incarnation, or one without ended runs. */
   public boolean mayAcknowledgeEnds() {
-    return evidence.isConfirmed()
-        && runs.values().stream().noneMatch(TrackedRun::isStartUnconfirmed);
+    return evidence.isConfirmed() && runs.values().stream().noneMatch(TrackedRun::isStartInFlight);
   }
 
   /** Returns the number up to which the ends of this incarnation are stored in the journal. */
