Conclude nothing from runs that a full report does not list

Cause: a worker lists its ends 500 at a time. The scheduler took each run that a report listed neither as running nor as ended for one that was lost, released it and started its task again, although its end was waiting behind the first 500. While the store is away no end can be stored and acknowledged, so the page does not advance; at a take-over the first report is such a page.

Change: the adapter tells that a report is full (500 ends), and the scheduler then releases and resends nothing. A full report is logged as "report incomplete", with the worker.

Report constructors in tests became WorkerRunReport.complete; no check changed.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -299,6 +299,12 @@
       listed.add(running.run());
       applyRunning(worker, running);
     }
+    if (report.moreEnds()) {
+      // A run that is not listed may have ended; its end is listed once these are acknowledged.
+      context.logDecision(
+          "report incomplete", "", Map.of("worker", worker.id(), "ends", report.ended().size()));
+      return;
+    }
     for (TrackedRun trackedRun : List.copyOf(worker.runs())) {
       if (!listed.contains(trackedRun.id()) && trackedRun.isGoneIfUnlisted(pollSentAt)) {
         releaseRun(worker, trackedRun, "run is missing from the worker's report");
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerClockTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerClockTests.java
@@ -46,7 +46,7 @@
   private long slackOfPlacedJob() {
     List<SchedulerEffect> effects = new ArrayList<>();
     effects.addAll(feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 1)), Set.of())));
-    WorkerRunReport report = new WorkerRunReport(1, 1000, List.of(), List.of());
+    WorkerRunReport report = WorkerRunReport.complete(1, 1000, List.of(), List.of());
     effects.addAll(
         feed(new SchedulerEvent.WorkerPolled(WORKER, 1, now, 0, new PollResult.Reported(report))));
     effects.addAll(feed(new SchedulerEvent.Ticked()));
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -47,7 +47,7 @@
     private static final WorkerId WORKER = new WorkerId("worker");
 
     private List<SchedulerEffect> answerPoll() {
-      WorkerRunReport report = new WorkerRunReport(1, 1000, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(1, 1000, List.of(), List.of());
       return feed(
           new SchedulerEvent.WorkerPolled(WORKER, 1, now, 0, new PollResult.Reported(report)));
     }
@@ -120,7 +120,7 @@
     private static final RunId RUN = new RunId(new TaskId(new StepId(ID, 0, 0), 0), 1);
 
     private List<SchedulerEffect> answerPoll(List<EndedRun> ended) {
-      return answerPoll(now, new WorkerRunReport(1, 1000, List.of(), ended));
+      return answerPoll(now, WorkerRunReport.complete(1, 1000, List.of(), ended));
     }
 
     private List<SchedulerEffect> answerPoll(Instant sentAt, WorkerRunReport report) {
@@ -136,7 +136,7 @@
     void runsThatWereNeverAssignedEndTheTerm() {
       RunId later = new RunId(RUN.task(), 2);
       WorkerRunReport report =
-          new WorkerRunReport(
+          WorkerRunReport.complete(
               1, 1000, List.of(new WorkerRunReport.RunningRun(later, "")), List.of());
       List<SchedulerEffect> effects =
           feed(new SchedulerEvent.WorkerPolled(WORKER, 1, NOW, 0, new PollResult.Reported(report)));
@@ -173,7 +173,7 @@
     void areNotResentToLaterIncarnations() {
       assertFalse(containsStart(answerStart(OrderResult.UNANSWERED)));
       List<SchedulerEffect> effects =
-          answerPoll(now, new WorkerRunReport(2, 10, List.of(), List.of()));
+          answerPoll(now, WorkerRunReport.complete(2, 10, List.of(), List.of()));
       assertFalse(containsStart(effects));
       assertTrue(containsStop(effects, 2));
     }
@@ -182,7 +182,7 @@
     void areNotResentAfterReportsThatWereRequestedBefore() {
       Instant sentAt = now;
       answerStart(OrderResult.UNANSWERED);
-      WorkerRunReport report = new WorkerRunReport(1, 1000, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(1, 1000, List.of(), List.of());
       assertFalse(containsStart(answerPoll(sentAt, report)));
     }
 
@@ -192,7 +192,7 @@
       answerStart(OrderResult.UNANSWERED);
       List<SchedulerEffect> effects =
           answerPoll(
-              now, new WorkerRunReport(1, 1000, List.of(new RunningRun(RUN, "")), List.of()));
+              now, WorkerRunReport.complete(1, 1000, List.of(new RunningRun(RUN, "")), List.of()));
       assertFalse(containsStart(effects));
       List<Integer> waits =
           effects.stream()
@@ -255,7 +255,7 @@
     void areResentAtOnce() {
       feed(new SchedulerEvent.MembersChanged(Set.of("member")));
       feed(new SchedulerEvent.LiveListReceived(List.of(worker(WORKER, 1)), Set.of()));
-      WorkerRunReport report = new WorkerRunReport(1, 1000, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(1, 1000, List.of(), List.of());
       feed(new SchedulerEvent.WorkerPolled(WORKER, 1, now, 0, new PollResult.Reported(report)));
       AdvicePolicy advice =
           new AdvicePolicy(Duration.ofMillis(10), Duration.ofMillis(1), Duration.ofSeconds(2));
@@ -303,7 +303,7 @@
 
     private List<SchedulerEffect> report(WorkerId id, List<RunId> running, List<EndedRun> ended) {
       List<RunningRun> rows = running.stream().map(run -> new RunningRun(run, "")).toList();
-      WorkerRunReport report = new WorkerRunReport(1, 1000, rows, ended);
+      WorkerRunReport report = WorkerRunReport.complete(1, 1000, rows, ended);
       return feed(new SchedulerEvent.WorkerPolled(id, 1, now, 0, new PollResult.Reported(report)));
     }
 
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerOddDataTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerOddDataTests.java
@@ -62,7 +62,7 @@
           new WorkerRunReport.EndedRun(firstEnd + endedRows.size(), run, RunEnd.FAILED, ""));
     }
     WorkerRunReport report =
-        new WorkerRunReport(worker.incarnation(), clock, runningRows, endedRows);
+        WorkerRunReport.complete(worker.incarnation(), clock, runningRows, endedRows);
     return feed(
         new SchedulerEvent.WorkerPolled(
             WORKER, worker.incarnation(), now, 0, new PollResult.Reported(report)));
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
@@ -67,7 +67,7 @@
 
   private List<SchedulerEffect> answerPollWithEnds(long acknowledgedUpTo, EndedRun... ended) {
     return answerPoll(
-        now, acknowledgedUpTo, new WorkerRunReport(1, FIRST_CLOCK, List.of(), List.of(ended)));
+        now, acknowledgedUpTo, WorkerRunReport.complete(1, FIRST_CLOCK, List.of(), List.of(ended)));
   }
 
   private List<SchedulerEffect> leavePollUnanswered() {
@@ -131,7 +131,7 @@
     REPORT {
       @Override
       List<SchedulerEffect> discover(CellSchedulerRestartedWorkerTests tests) {
-        WorkerRunReport report = new WorkerRunReport(2, SECOND_CLOCK, List.of(), List.of());
+        WorkerRunReport report = WorkerRunReport.complete(2, SECOND_CLOCK, List.of(), List.of());
         return tests.answerPoll(tests.now, 0, report);
       }
     };
@@ -181,7 +181,7 @@
       Instant sentBefore = now;
       storeBatch();
       leavePollUnanswered();
-      WorkerRunReport report = new WorkerRunReport(1, FIRST_CLOCK, List.of(), List.of(end));
+      WorkerRunReport report = WorkerRunReport.complete(1, FIRST_CLOCK, List.of(), List.of(end));
       List<SchedulerEffect> effects = new ArrayList<>(answerPoll(sentBefore, 0, report));
       now = now.plusSeconds(1);
       effects.addAll(feed(new SchedulerEvent.Ticked()));
@@ -199,7 +199,8 @@
       now = now.plusSeconds(1);
       storeBatch();
       answerStart(RUN, result, SECOND_CLOCK);
-      WorkerRunReport report = new WorkerRunReport(1, FIRST_CLOCK, List.of(), List.of(otherEnd));
+      WorkerRunReport report =
+          WorkerRunReport.complete(1, FIRST_CLOCK, List.of(), List.of(otherEnd));
       List<SchedulerEffect> effects = new ArrayList<>(answerPoll(sentBefore, 0, report));
       now = now.plusSeconds(1);
       effects.addAll(feed(new SchedulerEvent.Ticked()));
@@ -237,7 +238,7 @@
       answerStart(RUN, OrderResult.DONE, SECOND_CLOCK);
       list(2);
       WorkerRunReport report =
-          new WorkerRunReport(
+          WorkerRunReport.complete(
               2, SECOND_CLOCK, List.of(), List.of(new EndedRun(1, RUN, RunEnd.DONE, "")));
       feed(new SchedulerEvent.WorkerPolled(WORKER, 2, now, 0, new PollResult.Reported(report)));
       storeBatch();
@@ -250,7 +251,7 @@
     @Test
     void withClocksThatRanBackAreNotOfTheEarlierIncarnation() {
       answerStart(RUN, OrderResult.DONE, FIRST_CLOCK);
-      WorkerRunReport report = new WorkerRunReport(1, SECOND_CLOCK, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(1, SECOND_CLOCK, List.of(), List.of());
       answerPoll(now, 0, report);
       assertEquals(List.of(), startsAfter(Duration.ofSeconds(1)));
     }
@@ -270,7 +271,7 @@
       answerStart(RUN, OrderResult.DONE, SECOND_CLOCK);
       assertFalse(startsOtherJob());
       list(2);
-      WorkerRunReport report = new WorkerRunReport(2, SECOND_CLOCK, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(2, SECOND_CLOCK, List.of(), List.of());
       feed(new SchedulerEvent.WorkerPolled(WORKER, 2, now, 0, new PollResult.Reported(report)));
       assertEquals(List.of(OTHER_RUN), startsAfter(Duration.ofMillis(20)));
     }
@@ -294,7 +295,7 @@
       feed(
           new SchedulerEvent.LiveListReceived(
               List.of(worker(WORKER, 2), worker(OTHER_WORKER, 1)), Set.of()));
-      WorkerRunReport report = new WorkerRunReport(1, FIRST_CLOCK, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(1, FIRST_CLOCK, List.of(), List.of());
       feed(
           new SchedulerEvent.WorkerPolled(
               OTHER_WORKER, 1, now, 0, new PollResult.Reported(report)));
@@ -307,7 +308,9 @@
     void lastAsLongAsTheNewIncarnationMayHold(Discovery discovery) {
       now = now.plusSeconds(20);
       answerPoll(
-          now, 0, new WorkerRunReport(1, FIRST_CLOCK, List.of(new RunningRun(RUN, "")), List.of()));
+          now,
+          0,
+          WorkerRunReport.complete(1, FIRST_CLOCK, List.of(new RunningRun(RUN, "")), List.of()));
       discovery.discover(CellSchedulerRestartedWorkerTests.this);
       assertEquals(List.of(), startsElsewhereAfter(Duration.ofMillis(20)));
       assertEquals(List.of(), startsAfter(LONGEST_LEASE.minusMillis(100)));
@@ -322,7 +325,7 @@
       answerStart(RUN, OrderResult.DONE, SECOND_CLOCK);
       discovery.discover(CellSchedulerRestartedWorkerTests.this);
       WorkerRunReport report =
-          new WorkerRunReport(2, SECOND_CLOCK, List.of(new RunningRun(RUN, "")), List.of());
+          WorkerRunReport.complete(2, SECOND_CLOCK, List.of(new RunningRun(RUN, "")), List.of());
       feed(new SchedulerEvent.WorkerPolled(WORKER, 2, now, 0, new PollResult.Reported(report)));
       assertEquals(List.of(), startsElsewhereAfter(LONGEST_LEASE.minusMillis(100)));
       assertEquals(List.of(new RunId(RUN.task(), 2)), startsAfter(Duration.ofSeconds(1)));
@@ -369,7 +372,7 @@
       feed(
           new SchedulerEvent.OrderFinished(
               WORKER, 2, RUN, false, OrderResult.DONE, Optional.of(SECOND_CLOCK)));
-      WorkerRunReport report = new WorkerRunReport(2, SECOND_CLOCK, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(2, SECOND_CLOCK, List.of(), List.of());
       feed(
           new SchedulerEvent.WorkerPolled(
               WORKER, 2, now.plusMillis(1), 0, new PollResult.Reported(report)));
@@ -383,7 +386,7 @@
       feed(
           new SchedulerEvent.OrderFinished(
               WORKER, 1, RUN, false, OrderResult.DONE, Optional.of(FIRST_CLOCK)));
-      WorkerRunReport report = new WorkerRunReport(2, SECOND_CLOCK, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(2, SECOND_CLOCK, List.of(), List.of());
       feed(new SchedulerEvent.WorkerPolled(WORKER, 2, now, 0, new PollResult.Reported(report)));
       assertEquals(List.of(), startsAfter(Duration.ofMillis(20)));
     }
@@ -392,9 +395,9 @@
     void thatPollTheEarlierIncarnationReportNothingOfTheNewOne() {
       list(2);
       Stream.of(
-              new WorkerRunReport(
+              WorkerRunReport.complete(
                   1, FIRST_CLOCK, List.of(), List.of(new EndedRun(1, RUN, RunEnd.FAILED, ""))),
-              new WorkerRunReport(1, FIRST_CLOCK, List.of(), List.of()))
+              WorkerRunReport.complete(1, FIRST_CLOCK, List.of(), List.of()))
           .forEach(report -> answerPoll(now, 0, report));
       assertEquals(List.of(), startsAfter(Duration.ofMillis(20)));
     }
@@ -429,7 +432,7 @@
 
     private List<AdviceCall> callsOnceRestarted() {
       list(2);
-      WorkerRunReport report = new WorkerRunReport(2, SECOND_CLOCK, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(2, SECOND_CLOCK, List.of(), List.of());
       List<SchedulerEffect> effects =
           new ArrayList<>(
               feed(
@@ -484,7 +487,7 @@
                   new JournalEntry.Progressed(
                       new JobProgress(ID, JobState.RUNNING, List.of(progress)))),
               List.of(worker(WORKER, 2), worker(OTHER_WORKER, 1))));
-      WorkerRunReport report = new WorkerRunReport(1, FIRST_CLOCK, List.of(), List.of());
+      WorkerRunReport report = WorkerRunReport.complete(1, FIRST_CLOCK, List.of(), List.of());
       feed(
           new SchedulerEvent.WorkerPolled(
               OTHER_WORKER, 1, now, 0, new PollResult.Reported(report)));
@@ -498,7 +501,7 @@
     @Test
     void endAsTheNewIncarnationReports() {
       report(
-          new WorkerRunReport(
+          WorkerRunReport.complete(
               2, SECOND_CLOCK, List.of(), List.of(new EndedRun(1, RUN, RunEnd.DONE, ""))));
       storeBatch();
       assertEquals(List.of(), startsAfter(Duration.ofSeconds(20)));
@@ -510,7 +513,7 @@
     void areNotAcknowledgedBeforeThisSchedulerHasStoredTheirEnds() {
       List<SchedulerEffect> effects =
           report(
-              new WorkerRunReport(
+              WorkerRunReport.complete(
                   2, SECOND_CLOCK, List.of(), List.of(new EndedRun(1, RUN, RunEnd.DONE, ""))));
       now = now.plusSeconds(1);
       effects.addAll(feed(new SchedulerEvent.Ticked()));
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
@@ -150,7 +150,8 @@
     Instant now = Instant.now();
     handleEvent(scheduler, now, SchedulerEvent.Recovered.of(List.of(), List.of(worker)));
     handleEvent(scheduler, now, new SchedulerEvent.MembersChanged(Set.of("member")));
-    PollResult report = new PollResult.Reported(new WorkerRunReport(1, 1000, List.of(), List.of()));
+    PollResult report =
+        new PollResult.Reported(WorkerRunReport.complete(1, 1000, List.of(), List.of()));
     handleEvent(scheduler, now, new SchedulerEvent.WorkerPolled(worker.id(), 1, now, 0, report));
     CallerRequestId caller = new CallerRequestId("member", 1);
     handleEvent(
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
@@ -35,6 +35,8 @@
  */
 public final class SimulatedWorker {
 
+  private static final int MAXIMUM_ENDS_IN_REPORT = 500;
+
   private final VirtualTime time;
   private final SimulatedWorkers workers;
   private final WorkerId id;
@@ -370,6 +372,11 @@
     List<WorkerRunReport.RunningRun> runs = new ArrayList<>();
     running.keySet().forEach(runId -> runs.add(new WorkerRunReport.RunningRun(runId, "")));
     return new PollResult.Reported(
-        new WorkerRunReport(incarnation, clockMillis(), runs, List.copyOf(endedRuns)));
+        new WorkerRunReport(
+            incarnation,
+            clockMillis(),
+            runs,
+            List.copyOf(endedRuns.subList(0, Math.min(endedRuns.size(), MAXIMUM_ENDS_IN_REPORT))),
+            endedRuns.size() >= MAXIMUM_ENDS_IN_REPORT));
   }
 }
