--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalWriter.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalWriter.java
@@ -94,23 +94,48 @@
   void run() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        appendUntilSettled(JournalCodec.encode(batches.take()));
+        appendBatch(JournalCodec.encode(batches.take()));
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private void appendUntilSettled(List<StoreWrite> writes) throws InterruptedException {
+  /**
+   * Appends a batch in as many appends as the store's limit requires. The callers learn of a batch
+   * only once all of it is stored. Its entries are of one moment and in the order of their
+   * dependence, so a scheduler that finds only the first of them takes over a sound state.
+   */
+  private void appendBatch(List<StoreWrite> writes) throws InterruptedException {
     long startNanos = System.nanoTime();
+    boolean partlyStored = false;
+    for (List<StoreWrite> part : AppendLimit.split(writes)) {
+      if (!appendUntilSettled(part, partlyStored)) {
+        return;
+      }
+      partlyStored = true;
+    }
+    context.metrics().recordStoreTime((System.nanoTime() - startNanos) / 1e9);
+    eventSink.accept(new SchedulerEvent.JournalBatchStored());
+  }
+
+  /**
+   * Appends a part of a batch.
+   *
+   * @param writes the records
+   * @param partlyStored whether an earlier part is stored, so that the batch can't be refused
+   * @return whether the part is stored; otherwise the batch was refused, or the term is over
+   */
+  private boolean appendUntilSettled(List<StoreWrite> writes, boolean partlyStored)
+      throws InterruptedException {
     sequence++;
-    boolean maybeStored = false;
+    boolean maybeStored = partlyStored;
     while (!Thread.currentThread().isInterrupted()) {
       Either<StoreFailure, Long> result =
           context.store().append(JournalCodec.TOPIC, writes, Optional.of(stamp()));
       if (result.isRight()) {
-        onBatchStored(result.get(), writes.size(), startNanos);
-        return;
+        onPartStored(result.get(), writes.size());
+        return true;
       }
       StoreFailure failure = result.getLeft();
       boolean retryable =
@@ -118,16 +143,17 @@
               || failure.kind() == StoreFailure.Kind.UNCERTAIN;
       if (!retryable) {
         onAppendRejected.accept("journal: " + failure.kind() + " " + failure.detail());
-        return;
+        return false;
       }
       maybeStored |= failure.kind() == StoreFailure.Kind.UNCERTAIN;
       if (!maybeStored) {
         onBatchRefused(failure);
-        return;
+        return false;
       }
       updateStoreAvailability(false, failure.detail());
       TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
     }
+    return false;
   }
 
   /**
@@ -145,13 +171,11 @@
     eventSink.accept(new SchedulerEvent.JournalBatchRefused());
   }
 
-  private void onBatchStored(long offset, int records, long startNanos) {
+  private void onPartStored(long offset, int records) {
     updateStoreAvailability(true, "");
     // If the journal has been read up to the batch, reading continues after it. Otherwise there are
     // unread entries of other members before it.
     nextUnreadOffset.compareAndSet(offset, offset + records);
-    context.metrics().recordStoreTime((System.nanoTime() - startNanos) / 1e9);
-    eventSink.accept(new SchedulerEvent.JournalBatchStored());
   }
 
   private void updateStoreAvailability(boolean available, String detail) {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberAppends.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/MemberAppends.java
@@ -27,9 +27,6 @@
  */
 final class MemberAppends {
 
-  /** Well below the store's largest append of 2 MB. */
-  private static final int MAXIMUM_BATCH_BYTES = 1 << 20;
-
   /** Half of the time after which the store refuses appends because too many wait. */
   private static final Duration PAUSE_AFTER_FAILURE = Duration.ofSeconds(1);
 
@@ -84,8 +81,8 @@
   }
 
   private Batch add(StoreWrite write) {
-    int size = write.key().length() + write.value().map(value -> value.length).orElse(0);
-    if (open.bytes + size > MAXIMUM_BATCH_BYTES && !open.writes.isEmpty()) {
+    int size = AppendLimit.sizeOf(write);
+    if (!AppendLimit.fits(open.bytes, size)) {
       open = new Batch();
     }
     open.writes.add(write);
