Log an incomplete report once in a row, and say plainly when ends are acknowledged

Read as a newcomer: while the store is away, a worker with a full report is polled four times a second, and each report logged a line; with many workers that is a flood without news. The comment on acknowledgements was hard to follow.

Change: TrackedWorker remembers whether its last report was complete, and "report incomplete" is logged at the first one that is not. No decision changes.

Measured: EndsBeyondOneReportTests, RestartedWorkerReplayTests and CellScheduler*Tests green.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -292,6 +292,7 @@
 
   /** Applies a worker's report: ended, running and missing runs. */
   void applyReport(TrackedWorker worker, WorkerRunReport report, Instant pollSentAt) {
+    boolean wasComplete = worker.isReportComplete();
     worker.recordReport(report, pollSentAt, context.now());
     applyEnds(worker, report.ended());
     Set<RunId> listed = new HashSet<>();
@@ -301,8 +302,10 @@
     }
     if (report.moreEnds()) {
       // A run that is not listed may have ended; its end is listed once these are acknowledged.
-      context.logDecision(
-          "report incomplete", "", Map.of("worker", worker.id(), "ends", report.ended().size()));
+      if (wasComplete) {
+        context.logDecision(
+            "report incomplete", "", Map.of("worker", worker.id(), "ends", report.ended().size()));
+      }
       return;
     }
     for (TrackedRun trackedRun : List.copyOf(worker.runs())) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
@@ -33,6 +33,7 @@
   private WorkerDescription description;
   private LiveListEntry liveListEntry = LiveListEntry.PRESENT;
   private boolean reportReceived;
+  private boolean reportComplete = true;
   private Resources used = Resources.NONE;
   private Optional<WorkerClock> clock = Optional.empty();
 
@@ -107,6 +108,11 @@
     return reportReceived;
   }
 
+  /** Returns whether the last report, if there was one, listed all ended runs. */
+  public boolean isReportComplete() {
+    return reportComplete;
+  }
+
   /** Returns the circuit breaker that keeps tasks from a failing worker. */
   public WorkerCircuitBreaker circuitBreaker() {
     return circuitBreaker;
@@ -220,6 +226,7 @@
    * @param now when it arrived, by the local monotonic clock
    */
   public void recordReport(WorkerRunReport report, Instant requestedAt, Instant now) {
+    reportComplete = !report.moreEnds();
     evidence.recordReport(report.clockMillis(), requestedAt, now);
     recordAnswerWithClock(report.clockMillis(), now);
     markReportReceived();
@@ -312,10 +319,11 @@
   /**
    * Returns the number up to which the next poll may acknowledge ends, or 0 for none.
    *
-   * <p>A later incarnation numbers its ends anew and forgets those that any call acknowledges. It
-   * can have ended a run only if a start order reached it. So nothing is acknowledged while one is
-   * in flight, after a call without an answer until this incarnation has reported, nor again once
-   * this incarnation has answered.
+   * <p>Each incarnation numbers its ends from 1, and a poll makes the incarnation that it reaches
+   * forget its ends up to the acknowledged number. A later incarnation can have ended a run only if
+   * a start order reached it. So nothing is acknowledged while a start order is in flight, nor
+   * after a call without an answer until this incarnation has reported again, and no number is
+   * repeated once a poll with it was answered.
    */
   public long endNumberToAcknowledge() {
     return hasEndsToAcknowledge() && mayAcknowledgeEnds() ? storedEndNumber : 0;
