Let the store stand-in of ElectionLoopTests decide by its state when a call arrives

Cause, in the test: the stand-in put the call "join" into the queue and then read storeDown. The test takes the call and sets storeDown to false, so if the stand-in's thread is held up in between, the first join succeeds, there is no outage, and no "leave" ever comes.

Evidence: with a pause of 50 ms between the two lines the test times out in the same place; with the state read before the call is queued, and the same pause, it is green. The check is as strict: the first join is now always refused, as the test means it.

--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionLoopTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionLoopTests.java
@@ -101,8 +101,10 @@
   }
 
   private void answerGroupCall(HttpExchange exchange, String call) throws IOException {
+    // The test changes the state of the store once it has seen the call.
+    boolean down = storeDown;
     groupCalls.add(call);
-    if (storeDown) {
+    if (down) {
       exchange.sendResponseHeaders(503, -1);
       exchange.close();
       return;
