--- a/review/standins-2/LateRestart.java
+++ b/review/standins-2/LateRestart.java
@@ -6,7 +6,7 @@
 /** A worker and the scheduler are lost together: is the worker's lasting task started again? */
 final class LateRestart extends Scenario {
 
-  private static final int WORKERS = 6;
+  private static final int WORKERS = 8;
 
   /** For 3 s, from 6 s after its last run, a lasting task may not be without a run. */
   private static final long LONGEST_GAP_MILLIS = 9_000;
