--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -25,6 +25,9 @@
     void started(Worker worker, String task, int run);
 
     void ended(Worker worker, String task, int run, String how);
+
+    /** Is told the spec of each order to start, as the worker has read it. */
+    default void ordered(Worker worker, String task, String spec) {}
   }
 
   private static final class Run {
@@ -270,6 +273,7 @@
     if (number <= highestOver.getOrDefault(task, 0) || present != null) {
       return refusal("old");
     }
+    listener.ordered(this, task, Json.string(body, "spec"));
     Map<String, Object> spec = Json.object(Json.string(body, "spec"));
     String index = task.substring(task.lastIndexOf('.') + 1);
     boolean fails =
