--- a/review/standins-2/ForgottenCancel.java
+++ b/review/standins-2/ForgottenCancel.java
@@ -14,6 +14,9 @@
   private static final long CANCEL_MILLIS = 3_000;
   private static final long FREEZE_MILLIS = 3_500;
 
+  /** How long the killed machine stays dark. */
+  private static final long DARK_MILLIS = 3_500;
+
   private final String job = jobId(7);
 
   /** When the last start of the job was ordered; 0 if it was not. */
@@ -47,7 +50,7 @@
       cell.signal(frozen, "STOP");
     }
     // The client sends its job to the member that stands still, and leaves without an answer.
-    postAndLeave(frozen, 100);
+    postAndLeave(frozen, 50);
     long cancelledAt = cancel(other);
     if (cancelledAt < 0) {
       return NOT_RUN;
@@ -55,10 +58,11 @@
     if (trouble) {
       Thread.sleep(300);
       cell.kill(leader);
-      Thread.sleep(500);
-      cell.restart(leader);
+      long killedAt = recorder.now();
       Thread.sleep(Math.max(1, frozenAt + FREEZE_MILLIS - recorder.now()));
       cell.signal(frozen, "CONT");
+      Thread.sleep(Math.max(1, killedAt + DARK_MILLIS - recorder.now()));
+      cell.restart(leader);
     }
     Thread.sleep(12_000);
     cell.copyLogs("term begun", "accepted", "accepted elsewhere", "cancelled", "placed");
