--- a/review/standins-2/Cell.java
+++ b/review/standins-2/Cell.java
@@ -36,6 +36,10 @@
     this.advice = advice;
     this.recorder = recorder;
     this.command = deployCommand();
+    // No member outlives a script that is interrupted.
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(() -> List.copyOf(processes).forEach(Process::destroyForcibly)));
     for (int member = 0; member < count; member++) {
       processes.add(start(member, true));
     }
