Let failing workers back whatever they run, and blame hopeless steps

Cause: after the pause of its circuit breaker a worker was tried only while it ran nothing, until a task ended as done; each failure counted against its worker, whichever job it was of; all workers could be out at once. Besides, failures during a pause doubled it. Change: trial runs, one at a time or one in 2 s, whatever else runs; a lasting task that has worked for 2 s counts as a success; failures of a step that fails on every worker are withdrawn and no longer count; circuit breakers limit a step only while at most half of the workers that could run it are silent or failing. Only a failure after the pause doubles it. Why it works: the way back depends on time and the results of trials alone, not on what the worker holds, and no number of failures can take out more than half of the workers that a step could use.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.hyssopport.engine.advice.AdviceCall;
 import org.hyssopport.engine.advice.AdviceDispatcher;
 import org.hyssopport.engine.advice.AdviceWorkerSelector;
@@ -24,6 +25,7 @@
 import org.hyssopport.engine.placement.Placer;
 import org.hyssopport.engine.placement.StepOrder;
 import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.scheduler.WorkerAvailability.EligibleWorkers;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.policy.Resources;
 
@@ -44,21 +46,17 @@
    */
   private static final Duration ADVICE_RETRY_INTERVAL = Duration.ofMillis(20);
 
-  /** Exceeds the share of workers that fail at one time: one failure domain and a few others. */
-  private static final double MAXIMUM_SUSPECT_SHARE = 0.5;
-
   private final SchedulerContext context;
   private final JobRegistry jobs;
   private final TrackedWorkerRegistry workers;
   private final RunManager runManager;
   private final AdviceDispatcher adviceDispatcher;
+  private final WorkerAvailability availability;
   private final Map<StepId, StepAdvice> adviceByStep = new HashMap<>();
   private final Map<StepId, Map<WorkerId, Resources>> reservedByStep = new HashMap<>();
 
   private final Map<String, GoodWorkerShareEstimate> goodShareByQueue = new HashMap<>();
   private final Map<StepId, Instant> nextAdviceRequestAt = new HashMap<>();
-  private List<TrackedWorker> availableWorkers = List.of();
-  private boolean suspectsExcluded = true;
   private Instant lastPassAt = Instant.MIN;
   private long lastCallNumber;
 
@@ -73,6 +71,7 @@
     this.workers = workers;
     this.runManager = runManager;
     this.adviceDispatcher = adviceDispatcher;
+    availability = new WorkerAvailability(context, workers);
   }
 
   /** Returns when the next placement pass is due, if one was requested. */
@@ -99,27 +98,13 @@
     if (ready.isEmpty()) {
       return;
     }
-    updateSuspectExclusion();
-    availableWorkers = workers.all().stream().filter(this::isAvailable).toList();
+    availability.beginPass();
     ready.sort(StepOrder.at(context.now()));
     for (Step step : ready) {
       placeStep(step);
     }
   }
 
-  /** If most workers seem silent, this scheduler is the slow one, so none of them is excluded. */
-  private void updateSuspectExclusion() {
-    long suspects =
-        workers.all().stream().filter(worker -> worker.isSuspect(context.now())).count();
-    suspectsExcluded = suspects <= workers.all().size() * MAXIMUM_SUSPECT_SHARE;
-  }
-
-  private boolean isAvailable(TrackedWorker worker) {
-    return worker.acceptsWork()
-        && !(suspectsExcluded && worker.isSuspect(context.now()))
-        && worker.circuitBreaker().allowsWork(context.now(), worker.runs().size());
-  }
-
   private void forgetStep(StepId step) {
     adviceByStep.remove(step);
     reservedByStep.remove(step);
@@ -135,8 +120,10 @@
     Optional<AdvicePolicy> policy = step.job().definition().queue().advice();
     StepAdvice stepAdvice = adviceByStep.computeIfAbsent(step.id(), each -> StepAdvice.empty());
     Instant ticketsValidAt = context.now().plus(TICKET_MARGIN);
-    List<TrackedWorker> allowed =
-        policy.isEmpty() ? availableWorkers : workersWithTicket(stepAdvice, ticketsValidAt);
+    EligibleWorkers allowed =
+        policy.isEmpty()
+            ? availability.forStep(step)
+            : workersWithTicket(step, stepAdvice, ticketsValidAt);
     List<Task> waiting = step.waitingTasks();
     if (allowed.isEmpty() && adviceDispatcher.isPending(step.id())) {
       return;
@@ -163,16 +150,20 @@
     }
   }
 
-  private List<TrackedWorker> workersWithTicket(StepAdvice stepAdvice, Instant ticketsValidAt) {
+  private EligibleWorkers workersWithTicket(
+      Step step, StepAdvice stepAdvice, Instant ticketsValidAt) {
     List<TrackedWorker> withTicket = new ArrayList<>();
     for (WorkerId id : stepAdvice.workersWithValidTicket(ticketsValidAt)) {
       workers
           .find(id)
-          .filter(this::isAvailable)
+          .filter(worker -> availability.isEligible(worker, step))
           .filter(worker -> validTicket(stepAdvice, worker, ticketsValidAt).isPresent())
           .ifPresent(withTicket::add);
     }
-    return withTicket;
+    boolean anyFailing = withTicket.stream().anyMatch(worker -> worker.circuitBreaker().isOpen());
+    return anyFailing
+        ? availability.forAdvisedStep(step, stepAdvice).withOnly(withTicket)
+        : new EligibleWorkers(withTicket, true);
   }
 
   private void logPlacement(Step step, List<WorkerId> chosen) {
@@ -190,35 +181,32 @@
     return stepAdvice.validTicket(worker.id(), worker.description().incarnation(), ticketsValidAt);
   }
 
-  private List<Candidate> candidates(Step step, List<TrackedWorker> allowed) {
+  private List<Candidate> candidates(Step step, EligibleWorkers eligible) {
     List<Candidate> candidates = new ArrayList<>();
-    for (TrackedWorker worker : allowed) {
-      if (meetsRequirements(worker, step)) {
-        candidates.add(candidate(step, worker));
+    for (TrackedWorker worker : eligible.workers()) {
+      int mostTasks = mostTasks(step, worker, eligible.circuitsApply());
+      if (mostTasks > 0) {
+        candidates.add(candidate(step, worker, mostTasks));
       }
     }
     return candidates;
   }
 
-  private static boolean meetsRequirements(TrackedWorker worker, Step step) {
-    QueuePolicy queue = step.job().definition().queue();
-    return worker.description().service().equals(queue.service())
-        && step.definition()
-            .requiredLabel()
-            .map(worker.description().labels()::contains)
-            .orElse(true);
-  }
-
-  private Candidate candidate(Step step, TrackedWorker worker) {
+  private int mostTasks(Step step, TrackedWorker worker, boolean circuitApplies) {
+    int permitted =
+        circuitApplies ? worker.circuitBreaker().permittedTasks(context.now()) : Integer.MAX_VALUE;
     StepDefinition definition = step.definition();
-    int mostTasks = Integer.MAX_VALUE;
-    if (definition.mostPerWorker() > 0) {
-      long runsOnWorker =
-          worker.runs().stream()
-              .filter(trackedRun -> trackedRun.id().task().step().equals(step.id()))
-              .count();
-      mostTasks = (int) Math.max(0, definition.mostPerWorker() - runsOnWorker);
+    if (definition.mostPerWorker() == 0) {
+      return permitted;
     }
+    long runsOnWorker =
+        worker.runs().stream()
+            .filter(trackedRun -> trackedRun.id().task().step().equals(step.id()))
+            .count();
+    return (int) Math.min(permitted, definition.mostPerWorker() - runsOnWorker);
+  }
+
+  private Candidate candidate(Step step, TrackedWorker worker, int mostTasks) {
     Resources freeResources = worker.freeResources();
     for (Map.Entry<StepId, Map<WorkerId, Resources>> entry : reservedByStep.entrySet()) {
       if (!entry.getKey().equals(step.id())) {
@@ -263,23 +251,19 @@
 
   private List<WorkerId> selectWorkersForAdvice(
       Step step, int tasks, StepAdvice stepAdvice, AdvicePolicy policy) {
-    List<TrackedWorker> availableGood = new ArrayList<>();
-    List<TrackedWorker> availableUnknown = new ArrayList<>();
-    for (TrackedWorker worker : availableWorkers) {
-      long incarnation = worker.description().incarnation();
-      if (stepAdvice.isGood(worker.id(), incarnation)) {
-        availableGood.add(worker);
-      } else if (!stepAdvice.wasAskedAbout(worker.id(), incarnation)) {
-        availableUnknown.add(worker);
-      }
-    }
-    List<Candidate> good = candidates(step, availableGood);
+    EligibleWorkers eligible = availability.forAdvisedStep(step, stepAdvice);
+    Map<Boolean, List<TrackedWorker>> byGoodness =
+        eligible.workers().stream()
+            .collect(
+                Collectors.partitioningBy(
+                    worker -> stepAdvice.isGood(worker.id(), worker.description().incarnation())));
+    List<Candidate> good = candidates(step, eligible.withOnly(byGoodness.get(true)));
     List<WorkerId> selected =
         AdviceWorkerSelector.select(
             step.definition(),
             tasks,
             good,
-            candidates(step, availableUnknown),
+            candidates(step, eligible.withOnly(byGoodness.get(false))),
             goodShare(step).expectedShare(),
             policy);
     reserve(step, Placer.place(step.definition(), tasks, good));
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -33,12 +33,16 @@
   /** After this number of start orders without an answer, a run is stopped. */
   private static final int MAXIMUM_STARTS_SENT = 3;
 
+  /** Tasks without an end that fail because of their worker fail within a shorter time. */
+  private static final Duration STEADY_RUN_TIME = Duration.ofSeconds(2);
+
   private static final Duration STOP_RESEND_INTERVAL = Duration.ofMillis(400);
 
   private final SchedulerContext context;
   private final JobRegistry jobs;
   private final TrackedWorkerRegistry workers;
   private final JournalQueue journal;
+  private final FailureAttribution failureAttribution;
 
   /** Runs whose stop was ordered and not confirmed, with the worker that got the order. */
   private final Map<TrackedRun, TrackedWorker> unconfirmedStops = new LinkedHashMap<>();
@@ -55,6 +59,7 @@
     this.jobs = jobs;
     this.workers = workers;
     this.journal = journal;
+    failureAttribution = new FailureAttribution(context, workers);
   }
 
   /** Assigns a run to a worker and orders its start once the assignment is stored. */
@@ -65,6 +70,7 @@
     TrackedRun trackedRun = TrackedRun.of(runId, step, RunPhase.STORING, context.now());
     trackedRun.setTicket(ticket);
     worker.add(trackedRun);
+    worker.circuitBreaker().recordPlacement(runId, context.now());
     journal.addProgressed(step.job());
     journal.afterStored(() -> onAssignmentStored(worker, trackedRun));
   }
@@ -117,7 +123,7 @@
       }
       case UNANSWERED -> resendOrStop(worker, trackedRun);
       case NOT_SENT -> {
-        worker.circuitBreaker().recordUnreachable(context.now());
+        worker.recordUnreachable(context.now());
         if (trackedRun.startsSent() == 1) {
           onStartRefused(worker, trackedRun, result);
         } else {
@@ -125,7 +131,7 @@
         }
       }
       case UNHEALTHY -> {
-        worker.circuitBreaker().recordUnreachable(context.now());
+        worker.recordUnreachable(context.now());
         onStartRefused(worker, trackedRun, result);
       }
       default -> onStartRefused(worker, trackedRun, result);
@@ -350,7 +356,7 @@
         task.lastRunNumber() == runId.number()
             && task.worker().filter(worker.id()::equals).isPresent();
     if (endedRun.end() == RunEnd.DONE && !step.definition().lasting()) {
-      worker.circuitBreaker().recordSuccess();
+      failureAttribution.recordSuccess(step, worker);
       onRunDone(step, task, current);
     } else if (current) {
       onRunEnded(worker, step, task, endedRun);
@@ -375,7 +381,7 @@
     step.saveCheckpoint(task, endedRun.checkpoint());
     if (endedRun.end() == RunEnd.FAILED) {
       step.countTaskFailure(task);
-      worker.circuitBreaker().recordFailure(context.now());
+      failureAttribution.recordFailure(step, task, worker);
     }
     context.logDecision(
         "run ended",
@@ -399,6 +405,9 @@
       context.logDecision("job over", job.id(), Map.of("state", job.state()));
       stopAllRuns(job, "job has ended");
     }
+    if (job.isEnded()) {
+      failureAttribution.forget(job);
+    }
     journal.addProgressed(job);
     JobState state = job.state();
     journal.afterStored(() -> job.recordStoredState(state));
@@ -476,6 +485,17 @@
     }
     step.saveCheckpoint(task, checkpoint);
     markJobStarted(step.job());
+    if (step.definition().lasting() && isSteady(trackedRun)) {
+      failureAttribution.recordSuccess(step, worker);
+    }
+  }
+
+  /** Returns whether a run has gone on for so long that its task works on its worker. */
+  private boolean isSteady(TrackedRun trackedRun) {
+    return trackedRun
+        .startConfirmedAt()
+        .filter(at -> context.now().isAfter(at.plus(STEADY_RUN_TIME)))
+        .isPresent();
   }
 
   /** Releases all runs of a worker whose incarnation has ended, so that their tasks wait again. */
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
@@ -24,6 +24,9 @@
   /** A single poll may be lost on the network; a worker that misses two gets no new work. */
   private static final int UNANSWERED_POLL_THRESHOLD = 2;
 
+  /** The pause after the worker could not be reached or rejected an order as unhealthy. */
+  private static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(500);
+
   /** Healthy workers answer within a few milliseconds; an order times out after 0.7 s. */
   private static final Duration EXPECTED_ANSWER_TIME = Duration.ofMillis(150);
 
@@ -49,6 +52,7 @@
   private Instant nextPollAt = Instant.MIN;
   private int unansweredPolls;
   private Optional<Instant> awaitingAnswerSince = Optional.empty();
+  private Instant unreachableUntil = Instant.MIN;
 
   private TrackedWorker(WorkerDescription description, Instant inheritedLeaseUntil) {
     this.description = description;
@@ -137,6 +141,16 @@
         .isPresent();
   }
 
+  /** Records that the worker could not be reached, or rejected an order as unhealthy. */
+  public void recordUnreachable(Instant now) {
+    unreachableUntil = now.plus(UNREACHABLE_PAUSE);
+  }
+
+  /** Returns whether the worker could not be reached a moment ago; it gets no new work then. */
+  public boolean isUnreachable(Instant now) {
+    return now.isBefore(unreachableUntil);
+  }
+
   /** Records that a call got an answer that may have come from a later incarnation. */
   public void recordDoubtfulIncarnation(Instant now) {
     evidence.recordDoubt(now);
@@ -201,6 +215,7 @@
       return false;
     }
     used = used.minus(removed.demand());
+    circuitBreaker.recordRunOver(runId);
     return true;
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerCircuitBreaker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerCircuitBreaker.java
@@ -2,14 +2,20 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.job.StepId;
 
 /**
  * Keeps work from a worker that fails the tasks it starts.
  *
  * <p>Protects against grey failures: a worker that looks healthy but fails every task before the
- * task's run time has passed. Consecutive failures are counted, whichever jobs they belong to. Once
- * they reach a threshold, the worker gets no work for a pause that doubles with each further
- * failure; after the pause it is tried with one task at a time until a task completes.
+ * task's run time has passed. Once the failures since the last completed task reach a threshold,
+ * the circuit opens: the worker gets no work for a pause. After the pause it gets trial runs, one
+ * at a time, whatever else it runs; a trial that neither ends nor fails within {@link #TRIAL_TIME}
+ * does not hold up the next one. A completed task closes the circuit, and a failure after the pause
+ * begins a pause twice as long. Failures that turn out to be the fault of their step are withdrawn.
  *
  * @since 0.2
  */
@@ -23,12 +29,17 @@
 
   private static final Duration MAXIMUM_PAUSE = Duration.ofSeconds(16);
 
-  /** The pause after the worker could not be reached or rejected an order. */
-  private static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(500);
+  /** The time after which a trial run no longer holds up the next one. */
+  static final Duration TRIAL_TIME = Duration.ofSeconds(2);
 
-  private int consecutiveFailures;
+  /** The failures since the last completed task, by step. */
+  private final Map<StepId, Integer> failuresByStep = new HashMap<>();
+
+  private int failures;
   private Duration pause = FIRST_PAUSE;
   private Instant pausedUntil = Instant.MIN;
+  private Optional<RunId> trial = Optional.empty();
+  private Instant nextTrialAt = Instant.MIN;
 
   private WorkerCircuitBreaker() {}
 
@@ -36,39 +47,93 @@
     return new WorkerCircuitBreaker();
   }
 
-  /** Records a task that completed; ends the count of consecutive failures. */
+  /** Records a task that completed, or one without an end that works; closes the circuit. */
   public void recordSuccess() {
-    consecutiveFailures = 0;
+    failuresByStep.clear();
+    close();
+  }
+
+  /**
+   * Records a failed run; opens the circuit if too many have failed since the last completed task.
+   *
+   * @param step the step that the run belongs to
+   * @param now the reading of the local monotonic clock
+   * @return the end of the pause, if the failure began one
+   */
+  public Optional<Instant> recordFailure(StepId step, Instant now) {
+    failuresByStep.merge(step, 1, Integer::sum);
+    failures++;
+    if (!isOpen() || now.isBefore(pausedUntil)) {
+      return Optional.empty();
+    }
+    pausedUntil = now.plus(pause);
+    Duration doubled = pause.multipliedBy(2);
+    pause = doubled.compareTo(MAXIMUM_PAUSE) > 0 ? MAXIMUM_PAUSE : doubled;
+    return Optional.of(pausedUntil);
+  }
+
+  /**
+   * Removes the failures of a step from the count, since they are not the worker's fault; closes
+   * the circuit unless the others suffice to keep it open.
+   *
+   * @param step the step
+   */
+  public void withdrawFailures(StepId step) {
+    Integer withdrawn = failuresByStep.remove(step);
+    if (withdrawn == null) {
+      return;
+    }
+    boolean wasOpen = isOpen();
+    failures -= withdrawn;
+    if (wasOpen && !isOpen()) {
+      int remaining = failures;
+      close();
+      failures = remaining;
+      pausedUntil = Instant.MIN;
+    }
+  }
+
+  private void close() {
+    failures = 0;
     pause = FIRST_PAUSE;
+    trial = Optional.empty();
+    nextTrialAt = Instant.MIN;
   }
 
-  /** Records a task that failed; pauses the worker if too many consecutive ones have failed. */
-  public void recordFailure(Instant now) {
-    consecutiveFailures++;
-    if (consecutiveFailures >= FAILURE_THRESHOLD) {
-      pausedUntil = now.plus(pause);
-      Duration doubled = pause.multipliedBy(2);
-      pause = doubled.compareTo(MAXIMUM_PAUSE) > 0 ? MAXIMUM_PAUSE : doubled;
+  /** Records that a run is placed on the worker; it is a trial if the circuit is open. */
+  public void recordPlacement(RunId run, Instant now) {
+    if (isOpen()) {
+      trial = Optional.of(run);
+      nextTrialAt = now.plus(TRIAL_TIME);
     }
   }
 
-  /** Records that the worker could not be reached, or rejected an order as unhealthy. */
-  public void recordUnreachable(Instant now) {
-    Instant until = now.plus(UNREACHABLE_PAUSE);
-    pausedUntil = until.isAfter(pausedUntil) ? until : pausedUntil;
+  /** Records that a run has left the worker, for whatever reason. */
+  void recordRunOver(RunId run) {
+    if (trial.filter(run::equals).isPresent()) {
+      trial = Optional.empty();
+      nextTrialAt = Instant.MIN;
+    }
+  }
+
+  /** Returns whether the circuit is open, so that the worker gets at most one run at a time. */
+  public boolean isOpen() {
+    return failures >= FAILURE_THRESHOLD;
   }
 
   /**
-   * Returns whether a task may be placed on the worker.
+   * Returns how many tasks may be placed on the worker now.
    *
    * @param now the reading of the local monotonic clock
-   * @param runsOnWorker how many runs the worker has already
-   * @return whether a task may be placed
+   * @return {@link Integer#MAX_VALUE} if the circuit does not limit them
    */
-  public boolean allowsWork(Instant now, int runsOnWorker) {
+  public int permittedTasks(Instant now) {
     if (now.isBefore(pausedUntil)) {
-      return false;
+      return 0;
+    }
+    if (!isOpen()) {
+      return Integer.MAX_VALUE;
     }
-    return consecutiveFailures < FAILURE_THRESHOLD || runsOnWorker == 0;
+    return now.isBefore(nextTrialAt) ? 0 : 1;
   }
 }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
@@ -258,13 +258,14 @@
     Duration work =
         Duration.ofMillis((long) (workers.workDuration(runId.task(), step).toMillis() * slowness));
     Duration duration = fails ? SimulatedWorkers.FAILURE_DELAY : work;
-    Optional<Instant> endsAt = hangs ? Optional.empty() : Optional.of(time.now().plus(duration));
+    boolean endless = hangs || (step.lasting() && !fails);
+    Optional<Instant> endsAt = endless ? Optional.empty() : Optional.of(time.now().plus(duration));
     running.put(runId, new ActiveRun(runId, step, time.now(), endsAt));
     workers.runChecker().recordStart(runId, step, id, capacity, time.now());
     if (step.gang()) {
       workers.onGangMemberStarted(runId, step, fails ? RunEnd.FAILED : RunEnd.DONE, duration);
       time.after(SimulatedWorkers.GANG_WINDOW, () -> endIfAlone(runId, step));
-    } else if (!hangs) {
+    } else if (!endless) {
       time.after(duration, () -> endRun(runId, fails ? RunEnd.FAILED : RunEnd.DONE));
     }
   }
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/Steps.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/Steps.java
@@ -25,6 +25,24 @@
     return step(tasks, milliProcessors, millis, false, List.of(earlier));
   }
 
+  /** Returns a step whose tasks run until the job is cancelled. */
+  static StepDefinition lasting(int tasks, long milliProcessors) {
+    StepDefinition step = plain(tasks, milliProcessors, 1000);
+    return new StepDefinition(
+        step.tasks(),
+        step.demand(),
+        step.estimate(),
+        step.after(),
+        step.checkpoint(),
+        step.gang(),
+        step.sameRack(),
+        step.requiredLabel(),
+        step.preferredRack(),
+        1,
+        step.copies(),
+        true);
+  }
+
   private static StepDefinition step(
       int tasks, long milliProcessors, int millis, boolean gang, List<Integer> after) {
     return new StepDefinition(
