End the reservation of a gang with its reason

Cause: room stays reserved for a gang that waits for tickets until the gang is placed, its step ends or it reserves anew. A gang that does not fit any more does none of these, nor does one whose call for advice gets no answer. Change: GangReservations keeps each reservation with its deadline; each pass ends those whose gang no longer waits, has lost a worker or whose answer is overdue. Why it works: a reservation is looked at in each pass, whether or not the gang can be placed or its call is pending, and has a deadline in any case.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceDispatcher.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceDispatcher.java
@@ -35,7 +35,7 @@
   private static final int RESERVED_MEMBER_DIVISOR = 3;
 
   /** The time beyond the expected duration of a call after which the call times out. */
-  private static final Duration ANSWER_ALLOWANCE = Duration.ofMillis(1500);
+  public static final Duration ANSWER_ALLOWANCE = Duration.ofMillis(1500);
 
   /** How long a member gets no calls after it left one unanswered. */
   private static final Duration MEMBER_PAUSE = Duration.ofMillis(500);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.hyssopport.engine.advice.AdviceCall;
 import org.hyssopport.engine.advice.AdviceDispatcher;
@@ -53,8 +55,7 @@
   private final AdviceDispatcher adviceDispatcher;
   private final WorkerAvailability availability;
   private final Map<StepId, StepAdvice> adviceByStep = new HashMap<>();
-  private final Map<StepId, Map<WorkerId, Resources>> reservedByStep = new HashMap<>();
-
+  private final GangReservations reservations = new GangReservations();
   private final Map<String, GoodWorkerShareEstimate> goodShareByQueue = new HashMap<>();
   private final Map<StepId, Instant> nextAdviceRequestAt = new HashMap<>();
   private Instant lastPassAt = Instant.MIN;
@@ -95,6 +96,7 @@
     List<StepId> ended = adviceByStep.keySet().stream().filter(this::isEnded).toList();
     ended.forEach(this::forgetStep);
     List<Step> ready = jobs.readySteps(context.wallClockTime());
+    releaseObsoleteReservations(ready);
     if (ready.isEmpty()) {
       return;
     }
@@ -105,9 +107,23 @@
     }
   }
 
+  private void releaseObsoleteReservations(List<Step> ready) {
+    if (reservations.isEmpty()) {
+      return;
+    }
+    Set<StepId> waiting = ready.stream().map(Step::id).collect(Collectors.toSet());
+    Predicate<WorkerId> isUsable =
+        id -> workers.find(id).filter(TrackedWorker::acceptsWork).isPresent();
+    reservations
+        .releaseObsolete(waiting, isUsable, context.now())
+        .forEach(
+            (step, reason) ->
+                context.logDecision("reservation ended", step, Map.of("reason", reason)));
+  }
+
   private void forgetStep(StepId step) {
     adviceByStep.remove(step);
-    reservedByStep.remove(step);
+    reservations.release(step);
     adviceDispatcher.cancel(step);
     nextAdviceRequestAt.remove(step);
   }
@@ -142,7 +158,7 @@
       runManager.assignRun(step, task, runNumber, worker, ticketText);
     }
     if (!chosen.isEmpty()) {
-      reservedByStep.remove(step.id());
+      reservations.release(step.id());
       logPlacement(step, chosen);
     }
     if (policy.isPresent() && chosen.size() < waiting.size()) {
@@ -207,13 +223,8 @@
   }
 
   private Candidate candidate(Step step, TrackedWorker worker, int mostTasks) {
-    Resources freeResources = worker.freeResources();
-    for (Map.Entry<StepId, Map<WorkerId, Resources>> entry : reservedByStep.entrySet()) {
-      if (!entry.getKey().equals(step.id())) {
-        freeResources =
-            freeResources.minus(entry.getValue().getOrDefault(worker.id(), Resources.NONE));
-      }
-    }
+    Resources freeResources =
+        worker.freeResources().minus(reservations.reservedForOthers(step.id(), worker.id()));
     return new Candidate(worker.id(), worker.description().rack(), freeResources, mostTasks);
   }
 
@@ -266,7 +277,9 @@
             candidates(step, eligible.withOnly(byGoodness.get(false))),
             goodShare(step).expectedShare(),
             policy);
-    reserve(step, Placer.place(step.definition(), tasks, good));
+    if (step.definition().gang()) {
+      reserve(step, Placer.place(step.definition(), tasks, good), policy);
+    }
     return selected;
   }
 
@@ -275,16 +288,11 @@
     return goodShareByQueue.computeIfAbsent(queue, each -> GoodWorkerShareEstimate.initial());
   }
 
-  /**
-   * Reserves resources for a gang that waits for new tickets, until it is placed or its step ends.
-   */
-  private void reserve(Step step, List<WorkerId> chosen) {
-    if (step.definition().gang() && !chosen.isEmpty()) {
-      Map<WorkerId, Resources> reservation = new HashMap<>();
-      chosen.forEach(
-          worker -> reservation.merge(worker, step.definition().demand(), Resources::plus));
-      reservedByStep.put(step.id(), reservation);
-    }
+  /** Reserves resources for a gang until the answer to the call for its tickets is overdue. */
+  private void reserve(Step step, List<WorkerId> chosen, AdvicePolicy policy) {
+    Duration callTime = policy.callTime((int) chosen.stream().distinct().count());
+    Instant overdueAt = context.now().plus(callTime).plus(AdviceDispatcher.ANSWER_ALLOWANCE);
+    reservations.replace(step.id(), step.definition().demand(), chosen, overdueAt);
   }
 
   /**
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -377,6 +377,9 @@
   }
 
   private void answerAdviceCall(AdviceCall call) {
+    if (!simulation.adviceAnswered()) {
+      return;
+    }
     Map<WorkerId, Ticket> tickets = new HashMap<>();
     double goodWorkerShare = simulation.goodWorkerShare(call.priority());
     Duration valid = simulation.advicePolicy(call.step().job()).valid();
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
@@ -61,6 +61,7 @@
   private final Set<JobId> jobsWithCancellation = new HashSet<>();
   private final Map<Long, CallerRequest> openRequests = new HashMap<>();
   private Optional<SchedulerHost> host = Optional.empty();
+  private boolean adviceAnswered = true;
   private final List<String> decisions = new ArrayList<>();
   private long lastTerm;
   private long lastNumber;
@@ -150,6 +151,15 @@
     return submitted.get(job).queue().advice().orElseThrow();
   }
 
+  /** Sets whether calls to the advice service get answers. */
+  public void setAdviceAnswered(boolean answered) {
+    adviceAnswered = answered;
+  }
+
+  boolean adviceAnswered() {
+    return adviceAnswered;
+  }
+
   double goodWorkerShare(int priority) {
     return goodWorkerShare.applyAsDouble(priority);
   }
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/Steps.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/Steps.java
@@ -25,9 +25,17 @@
     return step(tasks, milliProcessors, millis, false, List.of(earlier));
   }
 
-  /** Returns a step whose tasks run until the job is cancelled. */
+  /** Returns a step whose tasks run until the job is cancelled, one on each worker. */
   static StepDefinition lasting(int tasks, long milliProcessors) {
-    StepDefinition step = plain(tasks, milliProcessors, 1000);
+    return onePerWorker(plain(tasks, milliProcessors, 1000), true);
+  }
+
+  /** Returns the step with the limit of one task on each worker. */
+  static StepDefinition onePerWorker(StepDefinition step) {
+    return onePerWorker(step, step.lasting());
+  }
+
+  private static StepDefinition onePerWorker(StepDefinition step, boolean lasting) {
     return new StepDefinition(
         step.tasks(),
         step.demand(),
@@ -40,7 +48,7 @@
         step.preferredRack(),
         1,
         step.copies(),
-        true);
+        lasting);
   }
 
   private static StepDefinition step(
