Do not repeat calls for advice for steps that have ended

Cause: the call of a step that ended while it was in flight was queued again when it timed out, failed or lost its member, until the service answered it; a member makes one call at a time, so it held up the calls of others. Change: a step that needs no advice any more has no pending call, and only pending calls are queued again. The member stays busy until the call in flight is over.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceDispatcher.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceDispatcher.java
@@ -69,7 +69,7 @@
     List<String> lostMembers =
         callInFlightByMember.keySet().stream().filter(member -> !members.contains(member)).toList();
     for (String member : lostMembers) {
-      waitingCalls.add(callInFlightByMember.remove(member).call());
+      enqueueAgain(callInFlightByMember.remove(member).call());
     }
   }
 
@@ -85,13 +85,22 @@
     }
   }
 
-  /** Removes the queued call of a step that needs no advice any more. */
-  public void cancel(StepId step) {
-    if (waitingCalls.removeIf(call -> call.step().equals(step))) {
-      pendingSteps.remove(step);
+  /** Queues a call that was not answered again, unless its step needs no advice any more. */
+  private void enqueueAgain(AdviceCall call) {
+    if (pendingSteps.contains(call.step())) {
+      waitingCalls.add(call);
     }
   }
 
+  /**
+   * Removes the call of a step that needs no advice any more. If it is in flight, its member is
+   * free for another one once it is answered or timed out.
+   */
+  public void cancel(StepId step) {
+    waitingCalls.removeIf(call -> call.step().equals(step));
+    pendingSteps.remove(step);
+  }
+
   /** Times out overdue calls, assigns queued calls to free members and returns the assignments. */
   public List<Dispatch> dispatch(Instant now) {
     timeOutCalls(now);
@@ -183,7 +192,7 @@
     memberOf(number)
         .ifPresent(
             address -> {
-              waitingCalls.add(callInFlightByMember.remove(address).call());
+              enqueueAgain(callInFlightByMember.remove(address).call());
               availableFromByMember.replace(address, now.plus(MEMBER_PAUSE));
             });
   }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/advice/AdviceTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/advice/AdviceTests.java
@@ -17,6 +17,7 @@
 import org.hyssopport.engine.placement.Candidate;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.policy.Resources;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -143,6 +144,59 @@
     }
   }
 
+  /** A member makes one call at a time, so a call without a purpose delays all others. */
+  @Nested
+  class CancelledCalls {
+
+    private static final Duration OVERDUE = Duration.ofSeconds(10);
+
+    private final AdviceDispatcher dispatcher = AdviceDispatcher.create();
+
+    private AdviceCall call(long number) {
+      StepId step = new StepId(new JobId(String.format("%016x", number)), 0, 0);
+      return new AdviceCall(number, step, Map.of(), 0, NOW, Duration.ofMillis(300));
+    }
+
+    private List<Long> dispatchedAt(Instant at) {
+      return dispatcher.dispatch(at).stream().map(dispatch -> dispatch.call().number()).toList();
+    }
+
+    @BeforeEach
+    void cancelCallInFlight() {
+      dispatcher.setMembers(Set.of("a"));
+      dispatcher.enqueue(call(1));
+      assertEquals(List.of(1L), dispatchedAt(NOW));
+      dispatcher.cancel(call(1).step());
+      dispatcher.enqueue(call(2));
+    }
+
+    // While the service did not answer, the call of an ended step was made again and again.
+    @Test
+    void areNotRepeatedOnceTheyTimeOut() {
+      assertEquals(List.of(), dispatchedAt(NOW.plus(OVERDUE)));
+      assertEquals(List.of(2L), dispatchedAt(NOW.plus(OVERDUE.multipliedBy(2))));
+    }
+
+    @Test
+    void areNotRepeatedOnceTheyFail() {
+      dispatcher.requeueUnanswered(1, NOW);
+      assertEquals(List.of(2L), dispatchedAt(NOW.plus(OVERDUE)));
+    }
+
+    @Test
+    void areNotRepeatedOnceTheirMemberIsLost() {
+      dispatcher.setMembers(Set.of("b"));
+      assertEquals(List.of(2L), dispatchedAt(NOW));
+    }
+
+    @Test
+    void keepTheirMemberBusyUntilTheyAreAnswered() {
+      assertEquals(List.of(), dispatchedAt(NOW));
+      dispatcher.recordAnswer(1);
+      assertEquals(List.of(2L), dispatchedAt(NOW));
+    }
+  }
+
   @Nested
   class GoodWorkerShare {
 
