Store the cancellation of an unknown job before it is answered 410

Cause: the scheduler kept such a cancellation in memory alone. At 10,000 of them it dropped all, also those that members had stored and confirmed. A caller beyond 10,000 gets 503. A submission that comes while the cancellation is being stored is accepted and cancelled. The oracle of the simulation counts a 410 as binding also for jobs not accepted yet.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JournalEntry.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JournalEntry.java
@@ -41,6 +41,13 @@
    */
   record Cancelled(JobId job) implements JournalEntry {}
 
+  /**
+   * The cancellation of a job that has not become known is no longer needed.
+   *
+   * @param job the job
+   */
+  record CancellationExpired(JobId job) implements JournalEntry {}
+
   /**
    * The definition of an ended job, and its cancellation if there was one, are no longer needed:
    * only its progress is kept, which names its final state.
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -37,12 +37,6 @@
   /** Retry-After while the store can't be reached: a typical short outage is over by then. */
   private static final Duration STORE_RETRY = Duration.ofSeconds(1);
 
-  /**
-   * Limits the memory for cancellations of unknown jobs; all of them are dropped at this number.
-   * Far fewer arrive before an append that was on its way reaches the journal.
-   */
-  private static final int MAXIMUM_CANCELLED_UNKNOWN_JOBS = 10_000;
-
   /**
    * How long after a read of the journal an unknown job is taken for one that does not exist: half
    * of the time after which an accepted job must be known, since the answer also takes time.
@@ -67,11 +61,7 @@
   /** The cancellations of unknown jobs that wait for a read of the journal, in their order. */
   private final Deque<WaitingCancellation> waitingCancellations = new ArrayDeque<>();
 
-  /**
-   * Unknown jobs that callers cancelled; such a job is cancelled once it is stored, if a member
-   * stores it after all.
-   */
-  private final Set<JobId> cancelledUnknownJobs = new HashSet<>();
+  private final UnknownJobCancellations unknownJobCancellations;
 
   /** The callers that cancel a job whose acceptance is neither stored nor refused yet. */
   private final Map<JobId, List<CallerRequestId>> cancellingBeforeStored = new HashMap<>();
@@ -93,6 +83,7 @@
 
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
+    unknownJobCancellations = new UnknownJobCancellations(settings.retention());
     journalRecovery = new JournalRecovery(context, jobs, workers);
     retention = new JobRetention(context, jobs, journal);
     runManager = new RunManager(context, jobs, workers, journal);
@@ -225,6 +216,7 @@
       poller.expireLeases();
     }
     giveUpCancellations();
+    forgetExpiredCancellations();
     context.requestPlacement();
     incarnations.tick();
     runManager.resendStops();
@@ -390,7 +382,7 @@
    * there is none.
    */
   private void cancelAfterJournalRead(CallerRequestId caller, JobId id) {
-    if (!storeAvailable || waitingCancellations.size() >= MAXIMUM_CANCELLED_UNKNOWN_JOBS) {
+    if (!storeAvailable || unknownJobCancellations.isFull(waitingCancellations.size())) {
       reply(caller, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
       return;
     }
@@ -405,8 +397,7 @@
       if (jobs.find(waiting.job()).isPresent()) {
         cancel(waiting.caller(), waiting.job());
       } else {
-        rememberCancellation(waiting.job());
-        reply(waiting.caller(), CallerAnswer.of(Verdict.UNKNOWN_JOB));
+        storeCancellationOfUnknownJob(waiting);
       }
     }
   }
@@ -426,11 +417,30 @@
     }
   }
 
-  private void rememberCancellation(JobId id) {
-    if (cancelledUnknownJobs.size() >= MAXIMUM_CANCELLED_UNKNOWN_JOBS) {
-      cancelledUnknownJobs.clear();
+  /**
+   * Stores the cancellation before its caller is told that there is no such job: the submission may
+   * reach the next scheduler.
+   */
+  private void storeCancellationOfUnknownJob(WaitingCancellation waiting) {
+    unknownJobCancellations.add(waiting.job(), context.now());
+    journal.addCancelled(waiting.job());
+    journal.afterStored(
+        () -> answerStoredCancellation(waiting),
+        () ->
+            reply(waiting.caller(), CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY)));
+  }
+
+  private void answerStoredCancellation(WaitingCancellation waiting) {
+    if (jobs.find(waiting.job()).isPresent()) {
+      // The job was submitted meanwhile.
+      cancel(waiting.caller(), waiting.job());
+    } else {
+      reply(waiting.caller(), CallerAnswer.of(Verdict.UNKNOWN_JOB));
     }
-    cancelledUnknownJobs.add(id);
+  }
+
+  private void forgetExpiredCancellations() {
+    unknownJobCancellations.removeExpired(context.now()).forEach(journal::addCancellationExpired);
   }
 
   /**
@@ -442,13 +452,13 @@
       return;
     }
     if (jobs.find(id).filter(Job::acceptanceStored).isEmpty()) {
-      rememberCancellation(id);
+      unknownJobCancellations.add(id, context.now());
     }
     cancelIfKnown(id);
   }
 
   private void applyRememberedCancellation(JobId id) {
-    if (cancelledUnknownJobs.remove(id)) {
+    if (unknownJobCancellations.remove(id)) {
       cancelIfKnown(id);
     }
   }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalQueue.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalQueue.java
@@ -28,12 +28,16 @@
   private final Map<Job, Continuation> accepted = new LinkedHashMap<>();
   private final Set<Job> progressed = new LinkedHashSet<>();
 
+  /** Unknown jobs that callers have cancelled. */
+  private final Set<JobId> cancelled = new LinkedHashSet<>();
+
   /** Entries that only remove stored ones. */
   private final Set<JournalEntry> removals = new LinkedHashSet<>();
 
   private List<Continuation> nextContinuations = new ArrayList<>();
   private List<Continuation> inFlightContinuations = new ArrayList<>();
   private Set<Job> progressedInFlight = Set.of();
+  private Set<JobId> cancelledInFlight = Set.of();
   private Set<JournalEntry> removalsInFlight = Set.of();
   private boolean batchInFlight;
 
@@ -55,6 +59,14 @@
     progressed.add(job);
   }
 
+  void addCancelled(JobId job) {
+    cancelled.add(job);
+  }
+
+  void addCancellationExpired(JobId job) {
+    removals.add(new JournalEntry.CancellationExpired(job));
+  }
+
   void addArchived(JobId job) {
     removals.add(new JournalEntry.Archived(job));
   }
@@ -81,7 +93,8 @@
    * entries, runs the waiting continuations at once.
    */
   Optional<List<JournalEntry>> startNextBatch() {
-    boolean empty = accepted.isEmpty() && progressed.isEmpty() && removals.isEmpty();
+    boolean empty =
+        accepted.isEmpty() && progressed.isEmpty() && cancelled.isEmpty() && removals.isEmpty();
     if (batchInFlight || (empty && nextContinuations.isEmpty())) {
       return Optional.empty();
     }
@@ -92,14 +105,17 @@
     List<JournalEntry> entries = new ArrayList<>();
     accepted.keySet().forEach(job -> entries.add(new JournalEntry.Accepted(job.definition())));
     progressed.forEach(job -> entries.add(new JournalEntry.Progressed(job.progress())));
+    cancelled.forEach(job -> entries.add(new JournalEntry.Cancelled(job)));
     removalsInFlight = new LinkedHashSet<>();
     removals.stream().limit(MAXIMUM_REMOVALS).forEach(removalsInFlight::add);
     entries.addAll(removalsInFlight);
     progressedInFlight = new LinkedHashSet<>(progressed);
+    cancelledInFlight = new LinkedHashSet<>(cancelled);
     inFlightContinuations = new ArrayList<>(accepted.values());
     inFlightContinuations.addAll(drainContinuations());
     accepted.clear();
     progressed.clear();
+    cancelled.clear();
     removals.removeAll(removalsInFlight);
     batchInFlight = true;
     return Optional.of(entries);
@@ -124,14 +140,16 @@
   }
 
   /**
-   * Handles a batch that was certainly not stored. Progressed jobs and removals go into the next
-   * batch, since these changes can't be undone; a new job is left to its refusal action.
+   * Handles a batch that was certainly not stored. Progressed jobs, cancellations and removals go
+   * into the next batch, since these changes can't be undone; a new job is left to its refusal
+   * action.
    */
   void onBatchRefused() {
     batchInFlight = false;
     List<Continuation> continuations = inFlightContinuations;
     inFlightContinuations = new ArrayList<>();
     progressed.addAll(progressedInFlight);
+    cancelled.addAll(cancelledInFlight);
     removals.addAll(removalsInFlight);
     for (Continuation continuation : continuations) {
       if (continuation.ifRefused().isPresent()) {
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
@@ -212,9 +212,10 @@
       assertEquals(
           List.of(Verdict.UNAVAILABLE),
           answers(effects).stream().map(CallerAnswer::verdict).toList());
+      assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalRead(now))));
       assertEquals(
           List.of(Verdict.UNKNOWN_JOB),
-          answers(feed(new SchedulerEvent.JournalRead(now))).stream()
+          answers(feed(new SchedulerEvent.JournalBatchStored())).stream()
               .map(CallerAnswer::verdict)
               .toList());
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
@@ -273,6 +274,7 @@
     void takeEffectForJobsThatAreStoredAfterTheyWereFoundToBeUnknown() {
       List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Cancel(ID)));
       effects.addAll(feed(new SchedulerEvent.JournalRead(now)));
+      effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
       assertEquals(Verdict.UNKNOWN_JOB, answers(effects).get(0).verdict());
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalCodec.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalCodec.java
@@ -63,6 +63,8 @@
         writes.add(write(PROGRESSED_PREFIX + id, PROGRESS_CODEC.encode(progressed.progress())));
       } else if (entry instanceof JournalEntry.Cancelled) {
         writes.add(write(CANCELLED_PREFIX + id, CANCELLED_VALUE));
+      } else if (entry instanceof JournalEntry.CancellationExpired) {
+        writes.add(deletion(CANCELLED_PREFIX + id));
       } else {
         writes.add(deletion(ACCEPTED_PREFIX + id));
         writes.add(deletion(CANCELLED_PREFIX + id));
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
@@ -152,6 +152,23 @@
     assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
   }
 
+  @Test
+  void showsCancelledJobsThatNobodySubmittedAsAbsent() {
+    for (StoreWrite write : JournalCodec.encode(List.of(new JournalEntry.Cancelled(ID)))) {
+      addRecord(write.key(), write.value().orElseThrow());
+    }
+    assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
+  }
+
+  // Guards against taking the end of a cancellation for that of the job.
+  @Test
+  void showsJobsWhoseEarlierCancellationHasExpired() {
+    addAcceptedJob();
+    assertEquals(LookupStatus.KNOWN, cache.lookUp(ID).status());
+    deleteLater(new JournalEntry.CancellationExpired(ID));
+    assertEquals(LookupStatus.KNOWN, cache.lookUp(ID).status());
+  }
+
   @Test
   void showsJobsWithoutRecordsAsAbsent() {
     assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedJournal.java
@@ -102,6 +102,8 @@
         if (entry instanceof JournalEntry.Forgotten) {
           newestEntries.remove(key(JournalEntry.Progressed.class, entry));
         }
+      } else if (entry instanceof JournalEntry.CancellationExpired) {
+        newestEntries.remove(key(JournalEntry.Cancelled.class, entry));
       } else {
         newestEntries.put(key(entry.getClass(), entry), entry);
       }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
@@ -337,13 +337,11 @@
     answer.state().ifPresent(state -> recordState(id, state));
   }
 
-  /** Returns whether an answer tells a caller that an accepted job no longer runs. */
-  private boolean confirmsCancellation(CallerRequest request, CallerAnswer answer) {
+  /** Returns whether an answer tells a caller that a job does not run from then on. */
+  private static boolean confirmsCancellation(CallerRequest request, CallerAnswer answer) {
     boolean unknown = answer.verdict() == Verdict.UNKNOWN_JOB;
     return answer.verdict() == Verdict.CANCELLED
-        || (unknown
-            && request instanceof CallerRequest.Cancel
-            && acceptedAt.containsKey(request.job()));
+        || (unknown && request instanceof CallerRequest.Cancel);
   }
 
   private boolean isVisible(JobId id) {
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
@@ -302,6 +302,29 @@
       }
     }
 
+    /** Guards against jobs that run after their callers were told that there are none. */
+    @ParameterizedTest
+    @MethodSource("memberSeeds")
+    void noGuaranteeIsViolatedWhenCancellationsComeBeforeTheirJobs(long seed) {
+      Simulation faulty = Simulation.create(seed, 12, WORKER_CAPACITY, 4, 0.6);
+      faulty.orderFaults().setLateOrdersOutliveRestart(false);
+      Random random = new Random(seed);
+      List<JobId> jobs = new ArrayList<>();
+      for (int step = 0; step < 120; step++) {
+        faulty.advance(Duration.ofMillis(random.nextInt(250)));
+        if (random.nextInt(3) == 0) {
+          Duration delay = Duration.ofMillis(random.nextInt(6000));
+          JobId job = faulty.submitWithoutScheduler(Steps.queue(2, 4), randomSteps(random), delay);
+          faulty.cancel(job);
+        } else {
+          applyRandomMemberAction(faulty, random, jobs);
+        }
+      }
+      faulty.journal().setFailingReads(false);
+      faulty.journal().setRefusingTerms(false);
+      clearFaultsAndCheck(faulty);
+    }
+
     /** Submits a job that a member stores while its forwarded submission may be in flight. */
     private JobId submitForwarded(Simulation faulty, Random random) {
       Duration delay = Duration.ofMillis(random.nextInt(random.nextBoolean() ? 15 : 4000));
