Count a failed run of a gang once, however many members fail in it

Cause: a gang added up the failed runs that its tasks had counted each for itself. Change: failed runs are recorded by their numbers, in a gang once, for the first member that reports it, and stored with the progress; records without the numbers are read as before. The simulation's oracle checks attempts, both ways. Why it works: a number counts once per gang, in whatever order, term or repetition its ends are reported; runs that fail at different members have different numbers. Tests changed: progressOfJobsThatFitIsTakenByTheStore uses the most tasks that fit (1,048, was 1,000), with the longest numbers.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Step.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Step.java
@@ -83,8 +83,8 @@
   }
 
   /**
-   * Returns how often the task that failed most often has failed; in a gang, the failures of all
-   * its tasks are added up.
+   * Returns how often the task that failed most often has failed; in a gang, how many of its runs
+   * have failed.
    */
   public int failures() {
     return definition.gang()
@@ -103,9 +103,23 @@
     }
   }
 
-  /** Counts a failed run of a task. */
-  public void countTaskFailure(Task task) {
-    task.countFailure();
+  /**
+   * Records a failed run of a task. It is counted once, however often its end is reported, and in a
+   * gang however many tasks fail in it.
+   *
+   * @param task a task of this step
+   * @param runNumber the number of the run
+   * @return whether the run is counted now, and was not before
+   */
+  public boolean recordFailedRun(Task task, int runNumber) {
+    boolean counted =
+        definition.gang()
+            ? tasks.stream().anyMatch(gangTask -> gangTask.hasFailedRun(runNumber))
+            : task.hasFailedRun(runNumber);
+    if (!counted) {
+      task.addFailedRun(runNumber);
+    }
+    return !counted;
   }
 
   /** Saves a checkpoint of a task, or of all tasks of a gang; an empty one is ignored. */
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Task.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Task.java
@@ -15,7 +15,7 @@
   private final TaskId id;
   private boolean done;
   private int lastRunNumber;
-  private int failures;
+  private FailedRuns failedRuns = FailedRuns.none();
   private String checkpoint = "";
   private Optional<WorkerId> worker = Optional.empty();
   private long incarnation;
@@ -44,9 +44,11 @@
     return lastRunNumber;
   }
 
-  /** Returns how many of its runs have failed. */
+  /**
+   * Returns how many of its runs have failed; a failed run of a gang counts for one of its tasks.
+   */
   public int failures() {
-    return failures;
+    return failedRuns.count();
   }
 
   /** Returns the newest checkpoint, or an empty string. */
@@ -112,8 +114,12 @@
     worker = Optional.empty();
   }
 
-  void countFailure() {
-    failures++;
+  boolean hasFailedRun(int runNumber) {
+    return failedRuns.contains(runNumber);
+  }
+
+  void addFailedRun(int runNumber) {
+    failedRuns.add(runNumber);
   }
 
   void saveCheckpoint(String newest) {
@@ -125,7 +131,7 @@
   void restore(TaskProgress progress) {
     done = progress.done();
     lastRunNumber = progress.run();
-    failures = progress.failures();
+    failedRuns = FailedRuns.of(progress);
     worker = progress.worker();
     incarnation = progress.incarnation();
     checkpoint = progress.checkpoint();
@@ -143,9 +149,10 @@
             id.index(),
             done,
             lastRunNumber,
-            failures,
+            failures(),
             worker,
             incarnation,
-            checkpoint));
+            checkpoint,
+            Optional.of(failedRuns.remembered()).filter(runs -> !runs.isEmpty())));
   }
 }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -380,7 +380,7 @@
     task.clearAssignment();
     step.saveCheckpoint(task, endedRun.checkpoint());
     if (endedRun.end() == RunEnd.FAILED) {
-      step.countTaskFailure(task);
+      step.recordFailedRun(task, endedRun.run().number());
       failureAttribution.recordFailure(step, task, worker);
     }
     context.logDecision(
@@ -390,7 +390,7 @@
             "run", task.lastRunNumber(),
             "end", endedRun.end(),
             "worker", worker.id(),
-            "failures", task.failures()));
+            "failures", step.definition().gang() ? step.failures() : task.failures()));
     if (step.definition().gang()) {
       stopStep(step, "another task of the gang ended");
     }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -291,7 +291,8 @@
 
     @BeforeEach
     void inheritSecondRun() {
-      TaskProgress progress = new TaskProgress(0, 0, 0, false, 2, 0, Optional.of(ASSIGNED), 1, "");
+      TaskProgress progress =
+          new TaskProgress(0, 0, 0, false, 2, 0, Optional.of(ASSIGNED), 1, "", Optional.empty());
       feed(
           SchedulerEvent.Recovered.of(
               List.of(
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
@@ -478,7 +478,8 @@
 
     @BeforeEach
     void takeOver() {
-      TaskProgress progress = new TaskProgress(0, 0, 0, false, 1, 0, Optional.of(WORKER), 1, "");
+      TaskProgress progress =
+          new TaskProgress(0, 0, 0, false, 1, 0, Optional.of(WORKER), 1, "", Optional.empty());
       scheduler = CellScheduler.create(SETTINGS);
       feed(
           SchedulerEvent.Recovered.of(
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
@@ -123,7 +123,7 @@
 
   @Test
   void progressOfJobsThatFitIsTakenByTheStore() {
-    int tasks = 1_000;
+    int tasks = 1_048;
     JobDefinition definition =
         job(
             List.of(step(tasks, Duration.ofSeconds(1), List.of())),
@@ -141,7 +141,8 @@
             Integer.MAX_VALUE,
             Optional.of(new WorkerId("x".repeat(64))),
             Long.MAX_VALUE,
-            "0123456789abcdef");
+            "0123456789abcdef",
+            Optional.of(Collections.nCopies(8, Integer.MAX_VALUE)));
     JobProgress progress =
         new JobProgress(ID, JobState.RUNNING, Collections.nCopies(tasks, largest));
     List<StoreWrite> writes = JournalCodec.encode(List.of(new JournalEntry.Progressed(progress)));
@@ -149,6 +150,37 @@
     assertTrue(bytes <= 262_144 - 18, () -> "bytes of the progress: " + bytes);
   }
 
+  /** The progress of a task as versions stored it that did not name the failed runs. */
+  private record EarlierTaskProgress(
+      int occurrence,
+      int step,
+      int index,
+      boolean done,
+      int run,
+      int failures,
+      Optional<WorkerId> worker,
+      long incarnation,
+      String checkpoint) {}
+
+  private record EarlierJobProgress(JobId job, JobState state, List<EarlierTaskProgress> tasks) {}
+
+  @Test
+  void progressOfEarlierVersionsIsDecodable() {
+    EarlierTaskProgress task =
+        new EarlierTaskProgress(0, 0, 1, false, 3, 2, Optional.empty(), 5, "saved");
+    byte[] value =
+        MessagePackCodec.of(EarlierJobProgress.class)
+            .encode(new EarlierJobProgress(ID, JobState.RUNNING, List.of(task)));
+    TaskProgress expected =
+        new TaskProgress(0, 0, 1, false, 3, 2, Optional.empty(), 5, "saved", Optional.empty());
+    assertEquals(
+        Either.right(
+            Optional.of(
+                new JournalEntry.Progressed(
+                    new JobProgress(ID, JobState.RUNNING, List.of(expected))))),
+        JournalCodec.decode(new StoreRecord(1, "p" + ID, Optional.of(value))));
+  }
+
   // Such a record became an entry of nulls, on which the scheduler's thread ended in each term.
   @ParameterizedTest
   @ValueSource(strings = {"j", "p"})
@@ -215,9 +247,9 @@
     List<TaskProgress> tasks = new ArrayList<>();
     for (int odd : new int[] {-1, 2, Integer.MIN_VALUE, Integer.MAX_VALUE}) {
       Optional<WorkerId> worker = Optional.of(new WorkerId("w"));
-      tasks.add(new TaskProgress(0, 0, odd, true, 1, 0, worker, 5, ""));
-      tasks.add(new TaskProgress(0, odd, 0, true, 1, 0, worker, 5, ""));
-      tasks.add(new TaskProgress(odd, 0, 0, true, 1, 0, worker, 5, ""));
+      tasks.add(new TaskProgress(0, 0, odd, true, 1, 0, worker, 5, "", Optional.empty()));
+      tasks.add(new TaskProgress(0, odd, 0, true, 1, 0, worker, 5, "", Optional.empty()));
+      tasks.add(new TaskProgress(odd, 0, 0, true, 1, 0, worker, 5, "", Optional.empty()));
     }
     job.restore(new JobProgress(ID, JobState.RUNNING, tasks), Instant.EPOCH);
     assertTrue(job.steps().stream().noneMatch(step -> step.done()));
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalWriterTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalWriterTests.java
@@ -111,7 +111,16 @@
       for (int task = 0; task < TASKS_PER_JOB; task++) {
         tasks.add(
             new TaskProgress(
-                0, 0, task, false, 1, 0, Optional.of(new WorkerId("worker")), 1, "c".repeat(60)));
+                0,
+                0,
+                task,
+                false,
+                1,
+                0,
+                Optional.of(new WorkerId("worker")),
+                1,
+                "c".repeat(60),
+                Optional.empty()));
       }
       JobId id = new JobId(String.format("%016x", job));
       entries.add(new JournalEntry.Progressed(new JobProgress(id, JobState.RUNNING, tasks)));
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/WorkersStandIn.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/WorkersStandIn.java
@@ -96,6 +96,14 @@
     return workers.runChecker();
   }
 
+  /**
+   * Lets the first runs of a job's gangs fail, with several members that end as failed together.
+   */
+  public synchronized void failGangs(JobId job, int runs, int members) {
+    workers.setFailingGangMembers(members);
+    workers.setPlannedFailures(job, runs);
+  }
+
   /** Holds all calls for advice from now on until the advice on their job is released. */
   public synchronized void holdAdvice() {
     holdingAdvice = true;
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/RunChecker.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/RunChecker.java
@@ -36,6 +36,7 @@
   private final List<String> findings = new ArrayList<>();
   private final Map<JobId, List<StepDefinition>> stepsByJob = new HashMap<>();
   private final Map<RunId, CompletedRun> completedRuns = new HashMap<>();
+  private final AttemptChecker attempts = new AttemptChecker();
   private boolean carryingOutLateOrder;
   private int startCount;
 
@@ -53,11 +54,17 @@
     }
   }
 
-  /** Records the steps of a job that a caller submitted. */
+  /** Records the steps of a job that a caller submitted; its attempts are not checked. */
   public void recordSubmission(JobId job, List<StepDefinition> steps) {
     stepsByJob.put(job, steps);
   }
 
+  /** Records the steps of a job that a caller submitted, and the attempts of its queue. */
+  public void recordSubmission(JobId job, List<StepDefinition> steps, int attemptsOfQueue) {
+    stepsByJob.put(job, steps);
+    attempts.recordSubmission(job, attemptsOfQueue);
+  }
+
   /** Returns the definition, as submitted, of the step that a run belongs to. */
   public StepDefinition stepOf(RunId runId) {
     StepId id = runId.task().step();
@@ -84,6 +91,9 @@
     }
     others.add(runId);
     checkNotDone(runId, step.gang(), at);
+    if (!step.lasting()) {
+      attempts.recordStart(runId, step.gang(), at.toString());
+    }
     if (!stepsByJob.containsKey(runId.task().step().job())) {
       findings.add(at + " started for a job that no caller submitted: " + runId);
     } else {
@@ -113,6 +123,7 @@
 
   /** Records that the scheduler acknowledged the end of a run. */
   void recordAcknowledgement(RunId runId) {
+    findings.addAll(attempts.recordAcknowledgement(runId));
     CompletedRun completed = completedRuns.get(runId);
     if (completed != null && !completed.acknowledged) {
       completed.acknowledged = true;
@@ -125,6 +136,7 @@
    * crashes or its lease expires: the scheduler may then run the same tasks again.
    */
   void discardUnacknowledged(WorkerId worker) {
+    attempts.discardUnacknowledged(worker);
     completedRuns
         .values()
         .removeIf(completed -> completed.worker.equals(worker) && !completed.acknowledged);
@@ -177,6 +189,16 @@
     }
   }
 
+  /** Records that a run that has ended failed. */
+  void recordFailure(RunId runId, WorkerId worker, boolean gang) {
+    attempts.recordFailure(runId, worker, gang);
+  }
+
+  /** Returns whether a task or gang of the job has failed as often as its queue allows. */
+  public boolean isOutOfAttempts(JobId job) {
+    return attempts.isUsedUp(job);
+  }
+
   /** Returns whether all tasks of a job have ended as done. */
   public boolean isDone(JobId job) {
     List<StepDefinition> steps = stepsByJob.get(job);
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorker.java
@@ -294,6 +294,9 @@
     if (runEnd == RunEnd.DONE) {
       workers.runChecker().recordDone(runId, id, endedRun.step().gang());
     }
+    if (runEnd == RunEnd.FAILED) {
+      workers.runChecker().recordFailure(runId, id, endedRun.step().gang());
+    }
     if (endedRun.step().gang()) {
       workers.onGangMemberEnded(runId, runEnd);
     }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorkers.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SimulatedWorkers.java
@@ -43,6 +43,7 @@
   private final Map<WorkerId, SimulatedWorker> workers = new HashMap<>();
   private final List<SimulatedWorker> workersByIndex = new ArrayList<>();
   private final Map<StepId, Map<Integer, Set<RunId>>> startedGangMembers = new HashMap<>();
+  private int failingGangMembers = 1;
   private final Map<JobId, Duration> workDurations = new HashMap<>();
   private final Map<JobId, Integer> plannedFailures = new HashMap<>();
 
@@ -162,7 +163,15 @@
   }
 
   /**
-   * Ends a gang if all of its members still run. If the gang fails, one member ends as failed and
+   * Sets how many members of a gang end as failed at the same moment if the gang fails; the others
+   * end as broken.
+   */
+  public void setFailingGangMembers(int members) {
+    failingGangMembers = members;
+  }
+
+  /**
+   * Ends a gang if all of its members still run. If the gang fails, some members end as failed and
    * the others as broken.
    */
   private void endGang(RunId runId, RunEnd end) {
@@ -170,8 +179,11 @@
     boolean allRunning = members.stream().allMatch(member -> workerRunning(member).isPresent());
     if (allRunning) {
       List<RunId> ending = List.copyOf(members);
+      int endingAsGang = end == RunEnd.DONE ? ending.size() : failingGangMembers;
+      // The first of them to end would break the others.
+      ending.stream().limit(endingAsGang).forEach(members::remove);
       for (int index = 0; index < ending.size(); index++) {
-        RunEnd runEnd = end == RunEnd.DONE || index == 0 ? end : RunEnd.BROKEN;
+        RunEnd runEnd = index < endingAsGang ? end : RunEnd.BROKEN;
         RunId member = ending.get(index);
         workerRunning(member).ifPresent(worker -> worker.endRun(member, runEnd));
       }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
@@ -245,7 +245,7 @@
     JobDefinition job =
         new JobDefinition(id, queue, "payload", steps, 0, Instant.EPOCH, Duration.ZERO, time.now());
     submitted.put(id, job);
-    workers.runChecker().recordSubmission(id, steps);
+    workers.runChecker().recordSubmission(id, steps, queue.attempts());
     queue.advice().ifPresent(advice -> workers.tickets().requireFor(id));
     return job;
   }
@@ -364,6 +364,9 @@
                   + " for "
                   + state);
     }
+    if (state == JobState.FAILED && !workers.runChecker().isOutOfAttempts(id)) {
+      workers.runChecker().addFinding(time.now() + " shown as failed with attempts left: " + id);
+    }
     if (state == JobState.COMPLETE) {
       completeAt.putIfAbsent(id, time.now());
       if (!workers.runChecker().isDone(id)) {
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/platform/PlatformEndToEndTests.java
@@ -34,6 +34,7 @@
 /** Runs members as processes that serve callers over HTTP and use the platform's stand-ins. */
 class PlatformEndToEndTests extends AbstractEndToEndTests {
 
+  private static final int ATTEMPTS = 2;
   private static final int MEMBER_COUNT = 3;
   private static final long NO_TERM = -1;
   private static final Pattern TERM = Pattern.compile("\"term\":\"?(\\d+)");
@@ -73,7 +74,7 @@
     ObjectNode node = PlatformHttpServer.MAPPER.createObjectNode().put("version", version);
     ObjectNode route = node.putArray("routes").addObject();
     route.put("name", "plans").put("host", LoopbackHosts.host(1)).put("prefix", "/plans/");
-    route.put("service", SimulatedWorkers.SERVICE).put("attempts", 2).put("stretch", 2.0);
+    route.put("service", SimulatedWorkers.SERVICE).put("attempts", ATTEMPTS).put("stretch", 2.0);
     route.put("sloMs", 1000);
     route.putObject("advice").put("decideMs", adviceMillis).put("eachMs", 0.1).put("validMs", 1500);
     return node.toString();
@@ -107,14 +108,23 @@
   }
 
   private static String jobBody(int tasks, int millis) {
+    return jobBody(tasks, millis, false);
+  }
+
+  private static String jobBody(int tasks, int millis, boolean gang) {
     ObjectNode body = PlatformHttpServer.MAPPER.createObjectNode().put("spec", "text");
     ObjectNode step = body.putArray("steps").addObject();
     step.put("count", tasks).put("cpu", 1000).put("memMb", 100).put("estMs", millis);
+    step.put("gang", gang);
     return body.toString();
   }
 
   /** Tells the checker of runs that a job of one step is about to be submitted. */
   private JobId recordJob(int tasks, int millis) {
+    return recordJob(tasks, millis, false);
+  }
+
+  private JobId recordJob(int tasks, int millis, boolean gang) {
     lastJobNumber++;
     JobId id = new JobId(String.format("%016x", lastJobNumber));
     StepDefinition definition =
@@ -124,14 +134,14 @@
             Duration.ofMillis(millis),
             List.of(),
             false,
-            false,
+            gang,
             false,
             Optional.empty(),
             Optional.empty(),
             0,
             false,
             false);
-    workers.runChecker().recordSubmission(id, List.of(definition));
+    workers.runChecker().recordSubmission(id, List.of(definition), ATTEMPTS);
     return id;
   }
 
@@ -215,6 +225,23 @@
     assertEquals(List.of(), workers.runChecker().findings());
   }
 
+  // Three tasks failed in the first of two attempts, and the gang was given up.
+  @Test
+  void gangsOfWhichSeveralTasksFailTogetherUseOneAttempt() throws Exception {
+    MemberProcess firstMember = members.get(0);
+    JobId job = recordJob(4, 300, true);
+    workers.failGangs(job, ATTEMPTS - 1, 3);
+    String body = jobBody(4, 300, true);
+    await(() -> post(firstMember, "/plans/" + job, body).statusCode() == 200);
+    awaitState(firstMember, job, "complete");
+    JobId hopeless = recordJob(4, 300, true);
+    workers.failGangs(hopeless, 1000, 3);
+    await(() -> post(firstMember, "/plans/" + hopeless, body).statusCode() == 200);
+    awaitState(firstMember, hopeless, "failed");
+    assertTrue(workers.runChecker().isOutOfAttempts(hopeless));
+    assertEquals(List.of(), workers.runChecker().findings());
+  }
+
   // The test looked for the scheduler among the second and the third member only, and killed nobody
   // if the first one led.
   @Test
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/CellSchedulerTests.java
@@ -302,6 +302,66 @@
       }
     }
 
+    /** Returns seeds; {@code -Dhyssopport.fuzz.gang.seeds=5000} sets another maximum than 300. */
+    static LongStream gangSeeds() {
+      return LongStream.rangeClosed(1, Long.getLong("hyssopport.fuzz.gang.seeds", 300));
+    }
+
+    /** Guards against failed runs of gangs that are counted by their members, or not at all. */
+    @ParameterizedTest
+    @MethodSource("gangSeeds")
+    void attemptsOfGangsAreCountedByRunsWhenSeveralMembersFail(long seed) {
+      int attempts = 4;
+      Simulation faulty = Simulation.create(seed, 12, WORKER_CAPACITY, 4, 1);
+      faulty.orderFaults().setLateOrdersOutliveRestart(false);
+      Random random = new Random(seed);
+      faulty.workers().setFailingGangMembers(2 + random.nextInt(4));
+      List<JobId> possible = new ArrayList<>();
+      List<JobId> hopeless = new ArrayList<>();
+      for (int step = 0; step < 120; step++) {
+        faulty.advance(Duration.ofMillis(random.nextInt(250)));
+        applyRandomGangAction(faulty, random);
+        if (random.nextInt(6) == 0) {
+          JobId job =
+              faulty.submit(
+                  Steps.queue(1, attempts),
+                  List.of(Steps.gang(2 + random.nextInt(5), 8000, 200 + random.nextInt(1000))));
+          boolean canBeDone = random.nextInt(4) > 0;
+          faulty.workers().setPlannedFailures(job, canBeDone ? random.nextInt(attempts) : 10_000);
+          (canBeDone ? possible : hopeless).add(job);
+        }
+      }
+      clearFaultsAndCheck(faulty);
+      for (JobId job : possible) {
+        assertEquals(Optional.of(JobState.COMPLETE), faulty.state(job));
+      }
+      for (JobId job : hopeless) {
+        assertEquals(Optional.of(JobState.FAILED), faulty.state(job));
+      }
+    }
+
+    private void applyRandomGangAction(Simulation faulty, Random random) {
+      SimulatedWorker worker = faulty.workers().atIndex(random.nextInt(faulty.workers().count()));
+      switch (random.nextInt(16)) {
+        case 0 -> worker.setReachable(false);
+        case 1, 2 -> worker.setReachable(true);
+        case 3 -> {
+          worker.crash();
+          worker.restart();
+        }
+        case 4 -> faulty.killScheduler();
+        case 5 -> faulty.electScheduler();
+        case 6 -> faulty.journal().setDown(random.nextBoolean());
+        case 7 -> faulty.journal().setLostAnswerShare(random.nextDouble() * 0.4);
+        case 8 -> faulty.orderFaults().setLateShare(random.nextDouble() * 0.2);
+        case 9 -> faulty.orderFaults().setLostAnswerShare(random.nextDouble() * 0.2);
+        case 10 -> faulty.requestJobStates();
+        default -> {
+          // The jobs go on.
+        }
+      }
+    }
+
     /** Guards against jobs that run after their callers were told that there are none. */
     @ParameterizedTest
     @MethodSource("memberSeeds")
