Count failed runs that are reported once the next run is assigned

What callers saw: nothing yet; found on the related paths of the gang's attempts. A task could fail and start once more than its queue allows (BUDGET). Cause: an end was applied to a task only if it was of its current run. A failed run that the worker listed after a report without it was acknowledged and not counted. Evidence: areUsedUpByRunsThatAreOnlyReportedToHaveFailedOnceTheNextOneRuns failed before (the job was still RUNNING after three failed runs of three). Change: a failed end of a known task that is not done is recorded by its number, whether or not the task has a newer run; numbers that are counted are not counted again, so that repeated ends change nothing.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -358,11 +358,30 @@
     if (endedRun.end() == RunEnd.DONE && !step.definition().lasting()) {
       failureAttribution.recordSuccess(step, worker);
       onRunDone(step, task, current);
-    } else if (current) {
-      onRunEnded(worker, step, task, endedRun);
+    } else {
+      boolean newlyFailed =
+          endedRun.end() == RunEnd.FAILED && recordFailure(worker, step, task, runId);
+      if (current) {
+        onRunEnded(worker, step, task, endedRun);
+      } else if (newlyFailed) {
+        updateAndStoreJob(step.job());
+      }
     }
   }
 
+  /**
+   * Records a failed run, also of a task that has a newer one: it counts as one of the attempts.
+   *
+   * @return whether the run was not counted before
+   */
+  private boolean recordFailure(TrackedWorker worker, Step step, Task task, RunId runId) {
+    if (step.job().isEnded() || task.done()) {
+      return false;
+    }
+    failureAttribution.recordFailure(step, task, worker);
+    return step.recordFailedRun(task, runId.number());
+  }
+
   private void onRunDone(Step step, Task task, boolean current) {
     Job job = step.job();
     if (job.isEnded() || task.done()) {
@@ -379,10 +398,6 @@
       TrackedWorker worker, Step step, Task task, WorkerRunReport.EndedRun endedRun) {
     task.clearAssignment();
     step.saveCheckpoint(task, endedRun.checkpoint());
-    if (endedRun.end() == RunEnd.FAILED) {
-      step.recordFailedRun(task, endedRun.run().number());
-      failureAttribution.recordFailure(step, task, worker);
-    }
     context.logDecision(
         "run ended",
         task.id(),
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/GangAttemptTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/GangAttemptTests.java
@@ -277,6 +277,27 @@
     assertFailed();
   }
 
+  // The failed run of a task was ignored if the task had a newer run, which then could fail once
+  // more than the queue allows.
+  @Test
+  void areUsedUpByRunsThatAreOnlyReportedToHaveFailedOnceTheNextOneRuns() {
+    int index = end(0, 1, RunEnd.FAILED);
+    end(1, 1, RunEnd.BROKEN);
+    end(2, 1, RunEnd.BROKEN);
+    WorkerId late = describe(index).id();
+    List<EndedRun> lateEnds = List.copyOf(endsOf(late));
+    endsOf(late).clear();
+    reportAll();
+    assertRunning(2);
+    endsOf(late).addAll(lateEnds);
+    reportAll();
+    endGang(2, 1);
+    reportAll();
+    endGang(3, 1);
+    reportAll();
+    assertFailed();
+  }
+
   @Test
   void ofRecordsOfEarlierVersionsAreNotCountedAgain() {
     endGang(1, 1);
