Close a circuit by a task without an end only if it started after the last failure

What callers saw: nothing; found when the diff was read. Cause: the fix of the circuit breaker counted a lasting task that works as a success with each report. A worker that turned faulty beside such a task had its failures forgotten each second and was never paused. Evidence: failingWorkerIsPausedThoughTheTaskThatItHoldsWorks failed before. Change: the success counts if the run was started after the last failure. Result: FailingWorkerReplayTests and WorkerCircuitBreakerTests pass.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/FailureAttribution.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/FailureAttribution.java
@@ -1,5 +1,6 @@
 package org.hyssopport.engine.scheduler;
 
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -72,9 +73,19 @@
     worker.circuitBreaker().withdrawFailures(step.id());
   }
 
-  /** Records that a task of the step completed on a worker, or works if it has no end. */
+  /** Records that a task of the step completed on a worker. */
   void recordSuccess(Step step, TrackedWorker worker) {
     worker.circuitBreaker().recordSuccess();
+    recordSuccess(step);
+  }
+
+  /** Records that a task without an end has worked on a worker for some time. */
+  void recordSteadyRun(Step step, TrackedWorker worker, Instant startedAt) {
+    worker.circuitBreaker().recordSteadyRun(startedAt);
+    recordSuccess(step);
+  }
+
+  private void recordSuccess(Step step) {
     FailedStep failed = failedSteps.get(step.id());
     if (failed != null) {
       failed.succeeded = true;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -500,19 +500,14 @@
     }
     step.saveCheckpoint(task, checkpoint);
     markJobStarted(step.job());
-    if (step.definition().lasting() && isSteady(trackedRun)) {
-      failureAttribution.recordSuccess(step, worker);
+    if (step.definition().lasting()) {
+      trackedRun
+          .startConfirmedAt()
+          .filter(at -> context.now().isAfter(at.plus(STEADY_RUN_TIME)))
+          .ifPresent(at -> failureAttribution.recordSteadyRun(step, worker, at));
     }
   }
 
-  /** Returns whether a run has gone on for so long that its task works on its worker. */
-  private boolean isSteady(TrackedRun trackedRun) {
-    return trackedRun
-        .startConfirmedAt()
-        .filter(at -> context.now().isAfter(at.plus(STEADY_RUN_TIME)))
-        .isPresent();
-  }
-
   /** Releases all runs of a worker whose incarnation has ended, so that their tasks wait again. */
   void releaseAllRuns(TrackedWorker worker, String reason) {
     for (TrackedRun trackedRun : List.copyOf(worker.runs())) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerCircuitBreaker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerCircuitBreaker.java
@@ -36,6 +36,7 @@
   private final Map<StepId, Integer> failuresByStep = new HashMap<>();
 
   private int failures;
+  private Instant lastFailureAt = Instant.MIN;
   private Duration pause = FIRST_PAUSE;
   private Instant pausedUntil = Instant.MIN;
   private Optional<RunId> trial = Optional.empty();
@@ -47,12 +48,24 @@
     return new WorkerCircuitBreaker();
   }
 
-  /** Records a task that completed, or one without an end that works; closes the circuit. */
+  /** Records a task that completed; closes the circuit. */
   public void recordSuccess() {
     failuresByStep.clear();
     close();
   }
 
+  /**
+   * Records that a task without an end has worked for some time. This closes the circuit like a
+   * completed task, unless a run has failed since the task was started.
+   *
+   * @param startedAt when the run was started, by the local monotonic clock
+   */
+  public void recordSteadyRun(Instant startedAt) {
+    if (startedAt.isAfter(lastFailureAt)) {
+      recordSuccess();
+    }
+  }
+
   /**
    * Records a failed run; opens the circuit if too many have failed since the last completed task.
    *
@@ -63,6 +76,7 @@
   public Optional<Instant> recordFailure(StepId step, Instant now) {
     failuresByStep.merge(step, 1, Integer::sum);
     failures++;
+    lastFailureAt = now;
     if (!isOpen() || now.isBefore(pausedUntil)) {
       return Optional.empty();
     }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/worker/WorkerCircuitBreakerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/worker/WorkerCircuitBreakerTests.java
@@ -101,6 +101,14 @@
       assertEquals(Integer.MAX_VALUE, breaker.permittedTasks(AFTER_PAUSE));
     }
 
+    @Test
+    void taskWithoutEndThatWorksClosesTheCircuitIfItWasStartedAfterTheLastFailure() {
+      breaker.recordSteadyRun(NOW);
+      assertTrue(breaker.isOpen());
+      breaker.recordSteadyRun(AFTER_PAUSE);
+      assertFalse(breaker.isOpen());
+    }
+
     @Test
     void eachFailedTrialDoublesThePauseUpToSixteenSeconds() {
       Instant at = AFTER_PAUSE;
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/FailingWorkerReplayTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/FailingWorkerReplayTests.java
@@ -121,6 +121,23 @@
     assertAllWorkersGetWork();
   }
 
+  // A lasting task that had begun before its worker turned faulty ended the count of its failures.
+  @Test
+  void failingWorkerIsPausedThoughTheTaskThatItHoldsWorks() {
+    holdAllWorkers(Steps.lasting(WORKERS, 4000));
+    simulation.advance(Duration.ofSeconds(5));
+    SimulatedWorker failing = simulation.workers().atIndex(0);
+    failing.setFailsEverything(true);
+    for (int round = 0; round < 12; round++) {
+      submitShortJobs(1);
+      simulation.advance(Duration.ofMillis(1100));
+    }
+    assertTrue(
+        simulation.decisions().stream()
+            .anyMatch(
+                line -> line.contains("worker paused") && line.contains(failing.id().name())));
+  }
+
   /** Submits jobs that fit only if each worker gets one of them. */
   private void assertAllWorkersGetWork() {
     List<JobId> jobs = new ArrayList<>();
