Make trial runs without waiting for other work, and end their starvation

A gang with several tasks on each worker waited for good for a worker that got one run at a time, since no other work made that run; a task that only a paused worker could take waited up to 16 s. Cause: the limit of one task made a worker the last choice of the placement, so its trial depended on what else was to be placed; pauses double up to 16 s whether or not others can take the work.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/Candidate.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/Candidate.java
@@ -12,9 +12,11 @@
  *     steps
  * @param mostTasks how many of the step's tasks the limits other than resources still allow on the
  *     worker
+ * @param trial whether the worker has failed its last tasks and is to be tried with one
  * @since 0.2
  */
-public record Candidate(WorkerId worker, String rack, Resources freeResources, int mostTasks) {
+public record Candidate(
+    WorkerId worker, String rack, Resources freeResources, int mostTasks, boolean trial) {
 
   /** Returns how many tasks of the given demand fit, at most {@code mostTasks}. */
   public int fittingTasks(Resources demand) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/FailureAttribution.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/FailureAttribution.java
@@ -8,8 +8,8 @@
 import org.hyssopport.engine.job.Job;
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.job.StepId;
-import org.hyssopport.engine.job.Task;
 import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.worker.RunId;
 import org.hyssopport.engine.worker.TrackedWorker;
 
 /**
@@ -48,11 +48,11 @@
     }
   }
 
-  /** Records a failed run of a task on a worker. */
-  void recordFailure(Step step, Task task, TrackedWorker worker) {
+  /** Records a failed run of a step on a worker. */
+  void recordFailure(Step step, RunId run, TrackedWorker worker) {
     FailedStep failed = failedSteps.computeIfAbsent(step.id(), each -> new FailedStep());
     failed.workers.add(worker.id());
-    failed.tasks.add(task.id().index());
+    failed.tasks.add(run.task().index());
     if (!failed.atFault && failed.isAtFault(step)) {
       failed.atFault = true;
       failed.workers.forEach(id -> workers.find(id).ifPresent(each -> withdraw(each, step)));
@@ -61,7 +61,7 @@
     if (!failed.atFault) {
       worker
           .circuitBreaker()
-          .recordFailure(step.id(), context.now())
+          .recordFailure(run, context.now())
           .ifPresent(
               until ->
                   context.logDecision(
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -48,6 +48,11 @@
    */
   private static final Duration ADVICE_RETRY_INTERVAL = Duration.ofMillis(20);
 
+  /**
+   * A step of which no task could be placed for this time may be tried on failing workers sooner.
+   */
+  private static final Duration STARVATION_TIME = Duration.ofSeconds(1);
+
   private final SchedulerContext context;
   private final JobRegistry jobs;
   private final TrackedWorkerRegistry workers;
@@ -58,6 +63,10 @@
   private final GangReservations reservations = new GangReservations();
   private final Map<String, GoodWorkerShareEstimate> goodShareByQueue = new HashMap<>();
   private final Map<StepId, Instant> nextAdviceRequestAt = new HashMap<>();
+
+  /** Since when no worker could take a task of a step that waits. */
+  private final Map<StepId, Instant> unplacedSince = new HashMap<>();
+
   private Instant lastPassAt = Instant.MIN;
   private long lastCallNumber;
 
@@ -126,6 +135,7 @@
     reservations.release(step);
     adviceDispatcher.cancel(step);
     nextAdviceRequestAt.remove(step);
+    unplacedSince.remove(step);
   }
 
   private boolean isEnded(StepId id) {
@@ -145,9 +155,7 @@
       return;
     }
     List<WorkerId> chosen =
-        allowed.isEmpty()
-            ? List.of()
-            : Placer.place(step.definition(), waiting.size(), candidates(step, allowed));
+        allowed.isEmpty() ? List.of() : chooseWorkers(step, waiting.size(), allowed);
     int gangRunNumber = step.nextRunNumber();
     for (int index = 0; index < chosen.size(); index++) {
       TrackedWorker worker = workers.find(chosen.get(index)).orElseThrow();
@@ -157,7 +165,10 @@
       int runNumber = step.definition().gang() ? gangRunNumber : task.lastRunNumber() + 1;
       runManager.assignRun(step, task, runNumber, worker, ticketText);
     }
-    if (!chosen.isEmpty()) {
+    if (chosen.isEmpty()) {
+      unplacedSince.putIfAbsent(step.id(), context.now());
+    } else {
+      unplacedSince.remove(step.id());
       reservations.release(step.id());
       logPlacement(step, chosen);
     }
@@ -166,6 +177,42 @@
     }
   }
 
+  private List<WorkerId> chooseWorkers(Step step, int tasks, EligibleWorkers allowed) {
+    List<WorkerId> chosen = Placer.place(step.definition(), tasks, candidates(step, allowed));
+    boolean impossible =
+        chosen.isEmpty()
+            && isStarved(step)
+            && allowed.circuitsApply()
+            && !fitsOnIdleWorkers(step, tasks, allowed);
+    return impossible
+        ? Placer.place(step.definition(), tasks, candidates(step, allowed.withoutCircuits()))
+        : chosen;
+  }
+
+  /** Returns whether no worker has taken a task of the step for some time. */
+  private boolean isStarved(Step step) {
+    return Optional.ofNullable(unplacedSince.get(step.id()))
+        .filter(since -> !context.now().isBefore(since.plus(STARVATION_TIME)))
+        .isPresent();
+  }
+
+  /**
+   * Returns whether the step could be placed on workers that run nothing else, as far as their
+   * circuit breakers and the limit of its tasks on a worker permit. If not, no waiting helps.
+   */
+  private boolean fitsOnIdleWorkers(Step step, int tasks, EligibleWorkers allowed) {
+    List<Candidate> idle = new ArrayList<>();
+    for (TrackedWorker worker : allowed.workers()) {
+      int mostTasks = mostTasks(step, worker, true);
+      if (mostTasks > 0) {
+        Resources capacity = worker.description().capacity();
+        idle.add(
+            new Candidate(worker.id(), worker.description().rack(), capacity, mostTasks, false));
+      }
+    }
+    return !Placer.place(step.definition(), tasks, idle).isEmpty();
+  }
+
   private EligibleWorkers workersWithTicket(
       Step step, StepAdvice stepAdvice, Instant ticketsValidAt) {
     List<TrackedWorker> withTicket = new ArrayList<>();
@@ -202,7 +249,8 @@
     for (TrackedWorker worker : eligible.workers()) {
       int mostTasks = mostTasks(step, worker, eligible.circuitsApply());
       if (mostTasks > 0) {
-        candidates.add(candidate(step, worker, mostTasks));
+        boolean trial = eligible.circuitsApply() && worker.circuitBreaker().isOpen();
+        candidates.add(candidate(step, worker, mostTasks, trial));
       }
     }
     return candidates;
@@ -210,7 +258,9 @@
 
   private int mostTasks(Step step, TrackedWorker worker, boolean circuitApplies) {
     int permitted =
-        circuitApplies ? worker.circuitBreaker().permittedTasks(context.now()) : Integer.MAX_VALUE;
+        circuitApplies
+            ? worker.circuitBreaker().permittedTasks(context.now(), isStarved(step))
+            : Integer.MAX_VALUE;
     StepDefinition definition = step.definition();
     if (definition.mostPerWorker() == 0) {
       return permitted;
@@ -222,10 +272,10 @@
     return (int) Math.min(permitted, definition.mostPerWorker() - runsOnWorker);
   }
 
-  private Candidate candidate(Step step, TrackedWorker worker, int mostTasks) {
+  private Candidate candidate(Step step, TrackedWorker worker, int mostTasks, boolean trial) {
     Resources freeResources =
         worker.freeResources().minus(reservations.reservedForOthers(step.id(), worker.id()));
-    return new Candidate(worker.id(), worker.description().rack(), freeResources, mostTasks);
+    return new Candidate(worker.id(), worker.description().rack(), freeResources, mostTasks, trial);
   }
 
   private void requestAdvice(Step step, int tasks, StepAdvice stepAdvice, AdvicePolicy policy) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -378,7 +378,7 @@
     if (step.job().isEnded() || task.done()) {
       return false;
     }
-    failureAttribution.recordFailure(step, task, worker);
+    failureAttribution.recordFailure(step, runId, worker);
     return step.recordFailedRun(task, runId.number());
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerAvailability.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerAvailability.java
@@ -58,6 +58,10 @@
       return workers.isEmpty();
     }
 
+    EligibleWorkers withoutCircuits() {
+      return new EligibleWorkers(workers, false);
+    }
+
     EligibleWorkers withOnly(List<TrackedWorker> some) {
       return new EligibleWorkers(some, circuitsApply);
     }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerCircuitBreaker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/WorkerCircuitBreaker.java
@@ -15,7 +15,9 @@
  * the circuit opens: the worker gets no work for a pause. After the pause it gets trial runs, one
  * at a time, whatever else it runs; a trial that neither ends nor fails within {@link #TRIAL_TIME}
  * does not hold up the next one. A completed task closes the circuit, and a failure after the pause
- * begins a pause twice as long. Failures that turn out to be the fault of their step are withdrawn.
+ * begins a pause twice as long. A longer pause than the first one spares the tasks that other
+ * workers can take; those that none can take are tried sooner. Failures that turn out to be the
+ * fault of their step are withdrawn.
  *
  * @since 0.2
  */
@@ -39,7 +41,8 @@
   private Instant lastFailureAt = Instant.MIN;
   private Duration pause = FIRST_PAUSE;
   private Instant pausedUntil = Instant.MIN;
-  private Optional<RunId> trial = Optional.empty();
+  private Instant firstPauseUntil = Instant.MIN;
+  private Optional<RunId> lastTrial = Optional.empty();
   private Instant nextTrialAt = Instant.MIN;
 
   private WorkerCircuitBreaker() {}
@@ -69,18 +72,20 @@
   /**
    * Records a failed run; opens the circuit if too many have failed since the last completed task.
    *
-   * @param step the step that the run belongs to
+   * @param run the run
    * @param now the reading of the local monotonic clock
    * @return the end of the pause, if the failure began one
    */
-  public Optional<Instant> recordFailure(StepId step, Instant now) {
-    failuresByStep.merge(step, 1, Integer::sum);
+  public Optional<Instant> recordFailure(RunId run, Instant now) {
+    failuresByStep.merge(run.task().step(), 1, Integer::sum);
     failures++;
     lastFailureAt = now;
-    if (!isOpen() || now.isBefore(pausedUntil)) {
+    boolean trialFailed = lastTrial.filter(run::equals).isPresent();
+    if (!isOpen() || (now.isBefore(pausedUntil) && !trialFailed)) {
       return Optional.empty();
     }
     pausedUntil = now.plus(pause);
+    firstPauseUntil = now.plus(FIRST_PAUSE);
     Duration doubled = pause.multipliedBy(2);
     pause = doubled.compareTo(MAXIMUM_PAUSE) > 0 ? MAXIMUM_PAUSE : doubled;
     return Optional.of(pausedUntil);
@@ -104,28 +109,28 @@
       close();
       failures = remaining;
       pausedUntil = Instant.MIN;
+      firstPauseUntil = Instant.MIN;
     }
   }
 
   private void close() {
     failures = 0;
     pause = FIRST_PAUSE;
-    trial = Optional.empty();
+    lastTrial = Optional.empty();
     nextTrialAt = Instant.MIN;
   }
 
   /** Records that a run is placed on the worker; it is a trial if the circuit is open. */
   public void recordPlacement(RunId run, Instant now) {
     if (isOpen()) {
-      trial = Optional.of(run);
+      lastTrial = Optional.of(run);
       nextTrialAt = now.plus(TRIAL_TIME);
     }
   }
 
   /** Records that a run has left the worker, for whatever reason. */
   void recordRunOver(RunId run) {
-    if (trial.filter(run::equals).isPresent()) {
-      trial = Optional.empty();
+    if (lastTrial.filter(run::equals).isPresent()) {
       nextTrialAt = Instant.MIN;
     }
   }
@@ -139,10 +144,11 @@
    * Returns how many tasks may be placed on the worker now.
    *
    * @param now the reading of the local monotonic clock
+   * @param starved whether no other worker has taken a task of the step for some time
    * @return {@link Integer#MAX_VALUE} if the circuit does not limit them
    */
-  public int permittedTasks(Instant now) {
-    if (now.isBefore(pausedUntil)) {
+  public int permittedTasks(Instant now, boolean starved) {
+    if (now.isBefore(starved ? firstPauseUntil : pausedUntil)) {
       return 0;
     }
     if (!isOpen()) {
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/advice/AdviceTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/advice/AdviceTests.java
@@ -52,7 +52,8 @@
     List<Candidate> candidates = new ArrayList<>();
     for (int number = 0; number < count; number++) {
       WorkerId id = new WorkerId(name + number);
-      candidates.add(new Candidate(id, "r1", new Resources(64_000, 256_000, 0), Integer.MAX_VALUE));
+      candidates.add(
+          new Candidate(id, "r1", new Resources(64_000, 256_000, 0), Integer.MAX_VALUE, false));
     }
     return candidates;
   }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/WorkerAvailabilityTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/WorkerAvailabilityTests.java
@@ -16,8 +16,10 @@
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.engine.job.StepId;
+import org.hyssopport.engine.job.TaskId;
 import org.hyssopport.engine.platform.FailureDomain;
 import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.worker.RunId;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.hyssopport.engine.worker.WorkerRunReport;
@@ -72,7 +74,8 @@
 
   private void openCircuit(int index) {
     for (int failure = 0; failure < 3; failure++) {
-      worker(index).circuitBreaker().recordFailure(FAILED_STEP, NOW);
+      RunId run = new RunId(new TaskId(FAILED_STEP, failure), 1);
+      worker(index).circuitBreaker().recordFailure(run, NOW);
     }
   }
 
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/worker/WorkerCircuitBreakerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/worker/WorkerCircuitBreakerTests.java
@@ -28,7 +28,7 @@
 
   private void fail(StepId step, int times) {
     for (int count = 0; count < times; count++) {
-      breaker.recordFailure(step, NOW);
+      breaker.recordFailure(new RunId(new TaskId(step, count), 1), NOW);
     }
   }
 
@@ -36,14 +36,14 @@
   @ValueSource(ints = {0, 1, 2})
   void fewFailuresDoNotLimitTheWorker(int failures) {
     fail(STEP, failures);
-    assertEquals(Integer.MAX_VALUE, breaker.permittedTasks(NOW));
+    assertEquals(Integer.MAX_VALUE, breaker.permittedTasks(NOW, false));
   }
 
   @Test
   void pauseHasPassedAfterTwoSecondsHoweverManyRunsFailedTogether() {
     fail(STEP, 40);
-    assertEquals(0, breaker.permittedTasks(NOW.plusMillis(1999)));
-    assertEquals(1, breaker.permittedTasks(NOW.plusSeconds(2)));
+    assertEquals(0, breaker.permittedTasks(NOW.plusMillis(1999), false));
+    assertEquals(1, breaker.permittedTasks(NOW.plusSeconds(2), false));
   }
 
   @Test
@@ -51,7 +51,7 @@
     fail(STEP, 8);
     fail(OTHER_STEP, 2);
     breaker.withdrawFailures(STEP);
-    assertEquals(Integer.MAX_VALUE, breaker.permittedTasks(NOW));
+    assertEquals(Integer.MAX_VALUE, breaker.permittedTasks(NOW, false));
     fail(OTHER_STEP, 1);
     assertTrue(breaker.isOpen());
   }
@@ -62,7 +62,43 @@
     fail(OTHER_STEP, 3);
     breaker.withdrawFailures(STEP);
     assertTrue(breaker.isOpen());
-    assertEquals(0, breaker.permittedTasks(NOW));
+    assertEquals(0, breaker.permittedTasks(NOW, false));
+  }
+
+  /** Tasks that no other worker can take must not wait for the end of a long pause. */
+  @Nested
+  class DuringLongPauses {
+
+    private final Instant thirdPauseAt = NOW.plusSeconds(2 + 4);
+
+    @BeforeEach
+    void failTrials() {
+      fail(STEP, 3);
+      breaker.recordPlacement(RUN, NOW.plusSeconds(2));
+      breaker.recordRunOver(RUN);
+      breaker.recordFailure(RUN, NOW.plusSeconds(2));
+      breaker.recordPlacement(RUN, thirdPauseAt);
+      breaker.recordRunOver(RUN);
+      breaker.recordFailure(RUN, thirdPauseAt);
+    }
+
+    @Test
+    void starvedStepsGetTrialRunsAfterTwoSeconds() {
+      Instant later = thirdPauseAt.plusSeconds(2);
+      assertEquals(0, breaker.permittedTasks(later, false));
+      assertEquals(0, breaker.permittedTasks(later.minusMillis(1), true));
+      assertEquals(1, breaker.permittedTasks(later, true));
+    }
+
+    @Test
+    void failedTrialRunOfStarvedStepBeginsTheNextPause() {
+      Instant later = thirdPauseAt.plusSeconds(2);
+      breaker.recordPlacement(RUN, later);
+      breaker.recordRunOver(RUN);
+      breaker.recordFailure(RUN, later);
+      assertEquals(0, breaker.permittedTasks(later.plusMillis(1999), true));
+      assertEquals(0, breaker.permittedTasks(thirdPauseAt.plusSeconds(8), false));
+    }
   }
 
   @Nested
@@ -76,21 +112,21 @@
     @Test
     void trialRunHoldsUpTheNextOne() {
       breaker.recordPlacement(RUN, AFTER_PAUSE);
-      assertEquals(0, breaker.permittedTasks(AFTER_PAUSE));
+      assertEquals(0, breaker.permittedTasks(AFTER_PAUSE, false));
     }
 
     @Test
     void trialRunThatLeavesTheWorkerWithoutResultMakesRoomForTheNextOne() {
       breaker.recordPlacement(RUN, AFTER_PAUSE);
       breaker.recordRunOver(RUN);
-      assertEquals(1, breaker.permittedTasks(AFTER_PAUSE));
+      assertEquals(1, breaker.permittedTasks(AFTER_PAUSE, false));
     }
 
     @Test
     void trialRunThatDoesNotEndMakesRoomForTheNextOne() {
       breaker.recordPlacement(RUN, AFTER_PAUSE);
       Instant later = AFTER_PAUSE.plus(WorkerCircuitBreaker.TRIAL_TIME);
-      assertEquals(1, breaker.permittedTasks(later));
+      assertEquals(1, breaker.permittedTasks(later, false));
     }
 
     @Test
@@ -98,7 +134,7 @@
       breaker.recordPlacement(RUN, AFTER_PAUSE);
       breaker.recordSuccess();
       assertFalse(breaker.isOpen());
-      assertEquals(Integer.MAX_VALUE, breaker.permittedTasks(AFTER_PAUSE));
+      assertEquals(Integer.MAX_VALUE, breaker.permittedTasks(AFTER_PAUSE, false));
     }
 
     @Test
@@ -113,10 +149,10 @@
     void eachFailedTrialDoublesThePauseUpToSixteenSeconds() {
       Instant at = AFTER_PAUSE;
       for (long seconds : new long[] {4, 8, 16, 16, 16}) {
-        breaker.recordFailure(OTHER_STEP, at);
+        breaker.recordFailure(RUN, at);
         Instant end = at.plus(Duration.ofSeconds(seconds));
-        assertEquals(0, breaker.permittedTasks(end.minusMillis(1)));
-        assertEquals(1, breaker.permittedTasks(end));
+        assertEquals(0, breaker.permittedTasks(end.minusMillis(1), false));
+        assertEquals(1, breaker.permittedTasks(end, false));
         at = end;
       }
     }
--- a/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/FailingWorkerReplayTests.java
+++ b/hyssopport-testkit/src/test/java/org/hyssopport/testkit/world/FailingWorkerReplayTests.java
@@ -138,6 +138,51 @@
                 line -> line.contains("worker paused") && line.contains(failing.id().name())));
   }
 
+  /** Brings the worker that gets the first tasks into a pause of 16 s, after four trial runs. */
+  private SimulatedWorker pauseForLong() {
+    SimulatedWorker failing = simulation.workers().atIndex(0);
+    failing.setFailsEverything(true);
+    for (int round = 0; round < 200 && countPauses(failing) < 5; round++) {
+      submitShortJobs(4);
+      simulation.advance(Duration.ofMillis(500));
+    }
+    assertEquals(5, countPauses(failing));
+    failing.setFailsEverything(false);
+    simulation.advance(Duration.ofSeconds(1));
+    return failing;
+  }
+
+  private long countPauses(SimulatedWorker worker) {
+    return simulation.decisions().stream()
+        .filter(line -> line.contains("worker paused") && line.contains(worker.id().name()))
+        .count();
+  }
+
+  // Nothing else fits, so that the task would wait for the end of a pause of 16 s.
+  @Test
+  void tasksThatOnlyThePausedWorkerCanTakeAreTriedSoon() {
+    SimulatedWorker failing = pauseForLong();
+    JobId held =
+        simulation.submit(
+            Steps.queue(0, ATTEMPTS), List.of(Steps.onePerWorker(Steps.plain(2, 60_000, 60_000))));
+    simulation.advance(Duration.ofMillis(500));
+    JobId lasting = simulation.submit(Steps.queue(0, ATTEMPTS), List.of(Steps.lasting(1, 20_000)));
+    simulation.advance(Duration.ofSeconds(3));
+    assertEquals(Optional.of(JobState.RUNNING), stateOf(held));
+    assertTrue(isRunningOn(lasting, failing));
+  }
+
+  // A gang with several tasks on each worker never fitted on a worker that got one run at a time,
+  // and without other work there was no trial run to end that.
+  @Test
+  void gangThatNeedsThePausedWorkerIsTried() {
+    pauseForLong();
+    JobId gang =
+        simulation.submit(Steps.queue(0, ATTEMPTS), List.of(Steps.gang(3 * WORKERS, 20_000, 500)));
+    simulation.advance(Duration.ofSeconds(4));
+    assertComplete(List.of(gang));
+  }
+
   /** Submits jobs that fit only if each worker gets one of them. */
   private void assertAllWorkersGetWork() {
     List<JobId> jobs = new ArrayList<>();
