Try paused workers sooner only with what no other worker takes

What callers saw: nothing; found when the diff was read. A step that had waited 1 s for advice or room would have been tried on a failing worker first, and a trial came before the rack that holds a step's data. Change: the limits of the circuit breakers are an enum, CircuitLimit; shorter pauses are used only if no worker takes a task of the step under the full limits, and also when workers are chosen for advice. The preferred rack comes before a trial. No limits are computed while no circuit is open.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/Placer.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/Placer.java
@@ -14,7 +14,7 @@
  * <p>Optimised for a workload in which gangs of tasks of eighteen processors run beside tasks of a
  * few processors. Tasks go to the workers on which they leave the fewest processors unused, so that
  * whole workers stay free for large tasks. A gang is placed as a whole or not at all. Workers that
- * are due for a trial get a task first, except one of a gang, which would fail as a whole.
+ * are due for a trial come first, except for gangs, which would fail as a whole.
  *
  * @since 0.2
  */
@@ -74,8 +74,8 @@
   }
 
   private static Comparator<Candidate> bestFirst(StepDefinition step) {
-    return Comparator.comparing((Candidate candidate) -> !candidate.trial() || step.gang())
-        .thenComparing(candidate -> !isPreferred(step, candidate))
+    return Comparator.comparing((Candidate candidate) -> !isPreferred(step, candidate))
+        .thenComparing(candidate -> !candidate.trial() || step.gang())
         .thenComparingLong(candidate -> unusedProcessors(step, candidate))
         .thenComparing(Candidate::worker);
   }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -27,6 +27,7 @@
 import org.hyssopport.engine.placement.Placer;
 import org.hyssopport.engine.placement.StepOrder;
 import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.scheduler.WorkerAvailability.CircuitLimit;
 import org.hyssopport.engine.scheduler.WorkerAvailability.EligibleWorkers;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.policy.Resources;
@@ -177,16 +178,23 @@
     }
   }
 
+  /**
+   * Chooses workers for the waiting tasks of a step. Failing workers are tried sooner with a step
+   * that no other worker takes, and without a limit if no waiting would help.
+   */
   private List<WorkerId> chooseWorkers(Step step, int tasks, EligibleWorkers allowed) {
-    List<WorkerId> chosen = Placer.place(step.definition(), tasks, candidates(step, allowed));
-    boolean impossible =
-        chosen.isEmpty()
-            && isStarved(step)
-            && allowed.circuitsApply()
-            && !fitsOnIdleWorkers(step, tasks, allowed);
-    return impossible
-        ? Placer.place(step.definition(), tasks, candidates(step, allowed.withoutCircuits()))
-        : chosen;
+    List<WorkerId> chosen = place(step, tasks, allowed);
+    if (!chosen.isEmpty() || allowed.limit() == CircuitLimit.NONE || !isStarved(step)) {
+      return chosen;
+    }
+    EligibleWorkers sooner = allowed.forStarvedStep();
+    chosen = place(step, tasks, sooner);
+    boolean waitingHelps = !chosen.isEmpty() || fitsOnIdleWorkers(step, tasks, sooner);
+    return waitingHelps ? chosen : place(step, tasks, allowed.with(CircuitLimit.NONE));
+  }
+
+  private List<WorkerId> place(Step step, int tasks, EligibleWorkers eligible) {
+    return Placer.place(step.definition(), tasks, candidates(step, eligible));
   }
 
   /** Returns whether no worker has taken a task of the step for some time. */
@@ -198,12 +206,12 @@
 
   /**
    * Returns whether the step could be placed on workers that run nothing else, as far as their
-   * circuit breakers and the limit of its tasks on a worker permit. If not, no waiting helps.
+   * circuit breakers and the limit of its tasks on a worker permit.
    */
-  private boolean fitsOnIdleWorkers(Step step, int tasks, EligibleWorkers allowed) {
+  private boolean fitsOnIdleWorkers(Step step, int tasks, EligibleWorkers eligible) {
     List<Candidate> idle = new ArrayList<>();
-    for (TrackedWorker worker : allowed.workers()) {
-      int mostTasks = mostTasks(step, worker, true);
+    for (TrackedWorker worker : eligible.workers()) {
+      int mostTasks = mostTasks(step, worker, eligible.limit());
       if (mostTasks > 0) {
         Resources capacity = worker.description().capacity();
         idle.add(
@@ -226,7 +234,7 @@
     boolean anyFailing = withTicket.stream().anyMatch(worker -> worker.circuitBreaker().isOpen());
     return anyFailing
         ? availability.forAdvisedStep(step, stepAdvice).withOnly(withTicket)
-        : new EligibleWorkers(withTicket, true);
+        : new EligibleWorkers(withTicket, CircuitLimit.NONE);
   }
 
   private void logPlacement(Step step, List<WorkerId> chosen) {
@@ -247,20 +255,17 @@
   private List<Candidate> candidates(Step step, EligibleWorkers eligible) {
     List<Candidate> candidates = new ArrayList<>();
     for (TrackedWorker worker : eligible.workers()) {
-      int mostTasks = mostTasks(step, worker, eligible.circuitsApply());
+      int mostTasks = mostTasks(step, worker, eligible.limit());
       if (mostTasks > 0) {
-        boolean trial = eligible.circuitsApply() && worker.circuitBreaker().isOpen();
+        boolean trial = eligible.limit() != CircuitLimit.NONE && worker.circuitBreaker().isOpen();
         candidates.add(candidate(step, worker, mostTasks, trial));
       }
     }
     return candidates;
   }
 
-  private int mostTasks(Step step, TrackedWorker worker, boolean circuitApplies) {
-    int permitted =
-        circuitApplies
-            ? worker.circuitBreaker().permittedTasks(context.now(), isStarved(step))
-            : Integer.MAX_VALUE;
+  private int mostTasks(Step step, TrackedWorker worker, CircuitLimit limit) {
+    int permitted = limit.permittedTasks(worker, context.now());
     StepDefinition definition = step.definition();
     if (definition.mostPerWorker() == 0) {
       return permitted;
@@ -312,7 +317,8 @@
 
   private List<WorkerId> selectWorkersForAdvice(
       Step step, int tasks, StepAdvice stepAdvice, AdvicePolicy policy) {
-    EligibleWorkers eligible = availability.forAdvisedStep(step, stepAdvice);
+    EligibleWorkers possible = availability.forAdvisedStep(step, stepAdvice);
+    EligibleWorkers eligible = isStarved(step) ? possible.forStarvedStep() : possible;
     Map<Boolean, List<TrackedWorker>> byGoodness =
         eligible.workers().stream()
             .collect(
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerAvailability.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerAvailability.java
@@ -1,5 +1,6 @@
 package org.hyssopport.engine.scheduler;
 
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,24 +47,59 @@
     }
   }
 
+  /** How far the circuit breakers of workers limit what a step's tasks are placed on. */
+  enum CircuitLimit {
+    /** Failing workers get nothing during their pauses and one run at a time after them. */
+    FULL {
+      @Override
+      int permittedTasks(TrackedWorker worker, Instant now) {
+        return worker.circuitBreaker().permittedTasks(now, false);
+      }
+    },
+    /**
+     * The same with the shortest pauses, for tasks that no other worker has taken for some time.
+     */
+    SHORT_PAUSES {
+      @Override
+      int permittedTasks(TrackedWorker worker, Instant now) {
+        return worker.circuitBreaker().permittedTasks(now, true);
+      }
+    },
+    /** Failing workers get as much as others. */
+    NONE {
+      @Override
+      int permittedTasks(TrackedWorker worker, Instant now) {
+        return Integer.MAX_VALUE;
+      }
+    };
+
+    abstract int permittedTasks(TrackedWorker worker, Instant now);
+  }
+
   /**
    * The workers that could run the tasks of a step and are not suspected of being silent.
    *
    * @param workers the workers
-   * @param circuitsApply whether the circuit breakers limit how many tasks each of them gets
+   * @param limit how far their circuit breakers limit how many tasks each of them gets; {@code
+   *     NONE} also if no circuit is open
    */
-  record EligibleWorkers(List<TrackedWorker> workers, boolean circuitsApply) {
+  record EligibleWorkers(List<TrackedWorker> workers, CircuitLimit limit) {
 
     boolean isEmpty() {
       return workers.isEmpty();
     }
 
-    EligibleWorkers withoutCircuits() {
-      return new EligibleWorkers(workers, false);
+    EligibleWorkers withOnly(List<TrackedWorker> some) {
+      return new EligibleWorkers(some, limit);
+    }
+
+    EligibleWorkers with(CircuitLimit other) {
+      return new EligibleWorkers(workers, other);
     }
 
-    EligibleWorkers withOnly(List<TrackedWorker> some) {
-      return new EligibleWorkers(some, circuitsApply);
+    /** Returns the workers for a step that none of them has taken for some time. */
+    EligibleWorkers forStarvedStep() {
+      return limit == CircuitLimit.NONE ? this : with(CircuitLimit.SHORT_PAUSES);
     }
   }
 
@@ -126,6 +162,7 @@
     List<TrackedWorker> answering = accepting.stream().filter(this::isAnswering).toList();
     long failing = answering.stream().filter(worker -> worker.circuitBreaker().isOpen()).count();
     long excluded = accepting.size() - answering.size() + failing;
-    return new EligibleWorkers(answering, !isTooMany(excluded, accepting.size()));
+    boolean limited = failing > 0 && !isTooMany(excluded, accepting.size());
+    return new EligibleWorkers(answering, limited ? CircuitLimit.FULL : CircuitLimit.NONE);
   }
 }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/WorkerAvailabilityTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/WorkerAvailabilityTests.java
@@ -1,8 +1,6 @@
 package org.hyssopport.engine.scheduler;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -19,6 +17,7 @@
 import org.hyssopport.engine.job.TaskId;
 import org.hyssopport.engine.platform.FailureDomain;
 import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.scheduler.WorkerAvailability.CircuitLimit;
 import org.hyssopport.engine.worker.RunId;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerDescription;
@@ -108,8 +107,8 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"0, 0, true", "2, 0, true", "3, 0, false", "1, 1, true", "2, 1, false"})
-  void circuitsApplyToHalfOfTheWorkersAtMost(int failing, int silent, boolean expected) {
+  @CsvSource({"0, 0, NONE", "2, 0, FULL", "3, 0, NONE", "1, 1, FULL", "2, 1, NONE"})
+  void circuitsApplyToHalfOfTheWorkersAtMost(int failing, int silent, CircuitLimit expected) {
     for (int index = 0; index < failing; index++) {
       openCircuit(index);
     }
@@ -118,7 +117,7 @@
     }
     availability.beginPass();
     WorkerAvailability.EligibleWorkers eligible = availability.forStep(step(Optional.empty()));
-    assertEquals(expected, eligible.circuitsApply());
+    assertEquals(expected, eligible.limit());
     assertEquals(WORKERS - silent, eligible.workers().size());
   }
 
@@ -127,8 +126,8 @@
   void circuitsDoNotApplyToTheOnlyWorkerThatMeetsTheRequirement() {
     openCircuit(0);
     availability.beginPass();
-    assertFalse(availability.forStep(step(Optional.of("label"))).circuitsApply());
-    assertTrue(availability.forStep(step(Optional.empty())).circuitsApply());
+    assertEquals(CircuitLimit.NONE, availability.forStep(step(Optional.of("label"))).limit());
+    assertEquals(CircuitLimit.FULL, availability.forStep(step(Optional.empty())).limit());
   }
 
   @Test
@@ -138,7 +137,7 @@
       openCircuit(index);
     }
     availability.beginPass();
-    assertFalse(availability.forStep(step(Optional.empty())).circuitsApply());
+    assertEquals(CircuitLimit.NONE, availability.forStep(step(Optional.empty())).limit());
   }
 
   @ParameterizedTest
