Add organisations to configurations, jobs and requests of callers

Cause: the configuration of the new deployments states organisations with API keys, weights and limits, and their settings state links and memory. No type of ours could hold them, so no part of the scheduler could act on them.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/configuration/CellConfiguration.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/configuration/CellConfiguration.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.hyssopport.engine.organisation.OrganisationDirectory;
 
 /**
  * One version of the configuration of a cell.
@@ -10,9 +11,15 @@
  * @param version the number of this version, larger than that of every earlier one
  * @param routes the routes of callers to the queues
  * @param maximumBodyBytes the maximum size of a request body, in bytes
+ * @param organisations the organisations that share the cell; empty if the configuration states
+ *     none, and then every caller is served without a key
  * @since 0.2
  */
-public record CellConfiguration(long version, List<QueueRoute> routes, int maximumBodyBytes) {
+public record CellConfiguration(
+    long version,
+    List<QueueRoute> routes,
+    int maximumBodyBytes,
+    Optional<OrganisationDirectory> organisations) {
 
   /**
    * Returns the route for a host and path, or empty if none matches. If several match, returns the
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/configuration/QueueRoute.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/configuration/QueueRoute.java
@@ -8,9 +8,10 @@
  * @param host the host that the request must name
  * @param prefix the prefix that the path must have
  * @param queue the policy of the queue
+ * @param publicAccess whether callers need no key of an organisation
  * @since 0.2
  */
-public record QueueRoute(String host, String prefix, QueuePolicy queue) {
+public record QueueRoute(String host, String prefix, QueuePolicy queue, boolean publicAccess) {
 
   boolean matches(String requestedHost, String path) {
     return host.equals(requestedHost) && path.startsWith(prefix);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JobDefinition.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/JobDefinition.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
+import org.hyssopport.engine.organisation.OrganisationId;
 
 /**
  * The definition of a job, as it was accepted.
@@ -16,6 +18,8 @@
  * @param interval the time between occurrences
  * @param acceptedAt when it was accepted, by the monotonic clock of the member that accepted it,
  *     which shows the wall-clock time as of that member's start
+ * @param organisation the organisation that submitted it; empty if its caller needed no key, and in
+ *     records of earlier versions
  * @since 0.2
  */
 public record JobDefinition(
@@ -26,7 +30,8 @@
     int occurrences,
     Instant firstDue,
     Duration interval,
-    Instant acceptedAt) {
+    Instant acceptedAt,
+    Optional<OrganisationId> organisation) {
 
   /** How many tasks a job may have in all occurrences; the scheduler keeps each in memory. */
   public static final long MAXIMUM_TASKS = 100_000;
--- /dev/null
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/organisation/package-info.java
@@ -0,0 +1,2 @@
+/** The organisations that share a cell: their API keys, shares and limits. */
+package org.hyssopport.engine.organisation;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerRequest.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerRequest.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.Optional;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.organisation.OrganisationId;
 
 /**
  * A caller's request to the scheduler.
@@ -37,13 +39,27 @@
    * Cancels a job.
    *
    * @param job the id of the job
+   * @param organisation the organisation of the caller; empty if its caller needed no key
    */
-  record Cancel(JobId job) implements CallerRequest {}
+  record Cancel(JobId job, Optional<OrganisationId> organisation) implements CallerRequest {
+
+    /** Returns the request of a caller that needed no key. */
+    public static Cancel withoutOrganisation(JobId job) {
+      return new Cancel(job, Optional.empty());
+    }
+  }
 
   /**
    * Asks for the state of a job.
    *
    * @param job the id of the job
+   * @param organisation the organisation of the caller; empty if its caller needed no key
    */
-  record Show(JobId job) implements CallerRequest {}
+  record Show(JobId job, Optional<OrganisationId> organisation) implements CallerRequest {
+
+    /** Returns the request of a caller that needed no key. */
+    public static Show withoutOrganisation(JobId job) {
+      return new Show(job, Optional.empty());
+    }
+  }
 }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -171,19 +171,6 @@
       recover(recovery);
     } else if (event instanceof SchedulerEvent.CallerRequestReceived received) {
       handleRequest(received);
-    } else if (event instanceof SchedulerEvent.JournalBatchStored) {
-      lastStoreAnswerAt = context.now();
-      journal.onBatchStored();
-    } else if (event instanceof SchedulerEvent.JournalBatchRefused) {
-      journal.onBatchRefused();
-    } else if (event instanceof SchedulerEvent.StoreAvailabilityChanged changed) {
-      onStoreAvailabilityChanged(changed.available());
-    } else if (event instanceof SchedulerEvent.StoreAnswered) {
-      lastStoreAnswerAt = context.now();
-    } else if (event instanceof SchedulerEvent.OtherMemberEntriesRead entriesRead) {
-      entriesRead.entries().forEach(this::applyEntryFromOtherMember);
-    } else if (event instanceof SchedulerEvent.JournalRead read) {
-      onJournalRead(read.sentAt());
     } else if (event instanceof SchedulerEvent.LiveListReceived liveList) {
       updateWorkers(liveList.workers(), liveList.lapsed());
     } else if (event instanceof SchedulerEvent.WorkerPolled polled) {
@@ -195,8 +182,29 @@
       context.requestPlacement();
     } else if (event instanceof SchedulerEvent.MembersChanged changed) {
       adviceDispatcher.setMembers(changed.members());
+    } else if (event instanceof SchedulerEvent.ConfigurationChanged changed) {
+      context.applyConfiguration(changed.configuration());
     } else if (event instanceof SchedulerEvent.Ticked) {
       tick();
+    } else {
+      applyStoreEvent(event);
+    }
+  }
+
+  private void applyStoreEvent(SchedulerEvent event) {
+    if (event instanceof SchedulerEvent.JournalBatchStored) {
+      lastStoreAnswerAt = context.now();
+      journal.onBatchStored();
+    } else if (event instanceof SchedulerEvent.JournalBatchRefused) {
+      journal.onBatchRefused();
+    } else if (event instanceof SchedulerEvent.StoreAvailabilityChanged changed) {
+      onStoreAvailabilityChanged(changed.available());
+    } else if (event instanceof SchedulerEvent.StoreAnswered) {
+      lastStoreAnswerAt = context.now();
+    } else if (event instanceof SchedulerEvent.OtherMemberEntriesRead entriesRead) {
+      entriesRead.entries().forEach(this::applyEntryFromOtherMember);
+    } else if (event instanceof SchedulerEvent.JournalRead read) {
+      onJournalRead(read.sentAt());
     }
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerContext.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerContext.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.hyssopport.engine.configuration.CellConfiguration;
 
 /**
  * State shared by the parts of the scheduler: time, settings, the request for a placement pass and
@@ -16,6 +18,7 @@
   private Instant now = Instant.EPOCH;
   private Instant wallClockTime = Instant.EPOCH;
   private boolean placementRequested;
+  private Optional<CellConfiguration> configuration = Optional.empty();
 
   SchedulerContext(SchedulerSettings settings) {
     this.settings = settings;
@@ -57,6 +60,19 @@
     return now.plus(settings.longestInheritedLeaseOfLaterIncarnation());
   }
 
+  /** Puts a configuration in force unless a newer one is. */
+  void applyConfiguration(CellConfiguration newer) {
+    if (configuration.filter(current -> current.version() >= newer.version()).isEmpty()) {
+      configuration = Optional.of(newer);
+      requestPlacement();
+    }
+  }
+
+  /** Returns the configuration in force, or empty until this scheduler has received one. */
+  Optional<CellConfiguration> configuration() {
+    return configuration;
+  }
+
   /** Requests a placement pass, after a change that may let a waiting task start. */
   void requestPlacement() {
     placementRequested = true;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.hyssopport.engine.advice.Ticket;
+import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.worker.RunId;
@@ -35,6 +36,13 @@
     }
   }
 
+  /**
+   * A newer configuration is in force.
+   *
+   * @param configuration the configuration
+   */
+  record ConfigurationChanged(CellConfiguration configuration) implements SchedulerEvent {}
+
   /** A tick of the scheduler, for work that depends on time alone. */
   record Ticked() implements SchedulerEvent {}
 
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/AbstractCellSchedulerTests.java
@@ -77,7 +77,8 @@
         0,
         Instant.EPOCH,
         Duration.ZERO,
-        acceptedAt);
+        acceptedAt,
+        Optional.empty());
   }
 
   static WorkerDescription worker(WorkerId id, long incarnation) {
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerCallerTests.java
@@ -41,7 +41,7 @@
       CallerAnswer answer = answers(feed(new SchedulerEvent.JournalBatchRefused())).get(0);
       assertEquals(Verdict.UNAVAILABLE, answer.verdict());
       assertTrue(answer.retryAfter().isPresent());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Verdict.UNKNOWN_JOB, shown.verdict());
     }
 
@@ -71,7 +71,8 @@
       assertEquals(
           List.of(Verdict.ACCEPTED), answers(effects).stream().map(CallerAnswer::verdict).toList());
       assertFalse(effects.stream().anyMatch(SchedulerEffect.Store.class::isInstance));
-      CallerAnswer shown = answers(request(new CallerRequest.Show(OTHER_ID))).get(0);
+      CallerAnswer shown =
+          answers(request(CallerRequest.Show.withoutOrganisation(OTHER_ID))).get(0);
       assertEquals(Verdict.UNKNOWN_JOB, shown.verdict());
     }
 
@@ -114,7 +115,7 @@
     @Test
     void remainKnownWhenTheBatchOfTheSchedulerIsRefused() {
       assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalBatchRefused())));
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.QUEUED), shown.state());
       assertEquals(Optional.of(Map.of("q", 1)), scheduler.pendingByQueue());
     }
@@ -131,7 +132,8 @@
 
     private CallerAnswer showAfter(Duration sinceJournalRead) {
       SchedulerEvent show =
-          new SchedulerEvent.CallerRequestReceived(CALLER, new CallerRequest.Show(ID));
+          new SchedulerEvent.CallerRequestReceived(
+              CALLER, CallerRequest.Show.withoutOrganisation(ID));
       Instant now = NOW.plus(sinceJournalRead);
       return answers(scheduler.handle(show, now, now)).get(0);
     }
@@ -171,7 +173,8 @@
     @Test
     void ofJobsThatTheStoreThenRefusesAreNeverConfirmed() {
       request(new CallerRequest.Submit(job()));
-      List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Cancel(ID)));
+      List<SchedulerEffect> effects =
+          new ArrayList<>(request(CallerRequest.Cancel.withoutOrganisation(ID)));
       effects.addAll(feed(new SchedulerEvent.JournalBatchRefused()));
       effects.addAll(feed(new SchedulerEvent.Ticked()));
       assertFalse(
@@ -181,10 +184,10 @@
     @Test
     void ofJobsBeingStoredTakeEffectOnceTheyAreStored() {
       request(new CallerRequest.Submit(job()));
-      request(new CallerRequest.Cancel(ID));
+      request(CallerRequest.Cancel.withoutOrganisation(ID));
       feed(new SchedulerEvent.JournalBatchStored());
       feed(new SchedulerEvent.JournalBatchStored());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
@@ -192,7 +195,7 @@
     @Test
     void ofJobsBeingStoredAreAnsweredOnceTheyAreStored() {
       request(new CallerRequest.Submit(job()));
-      assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
+      assertEquals(List.of(), answers(request(CallerRequest.Cancel.withoutOrganisation(ID))));
       List<SchedulerEffect> effects =
           new ArrayList<>(feed(new SchedulerEvent.JournalBatchStored()));
       effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
@@ -206,7 +209,7 @@
     @Test
     void ofJobsThatTheStoreRefusesWaitForTheNextReadOfTheJournal() {
       request(new CallerRequest.Submit(job()));
-      request(new CallerRequest.Cancel(ID));
+      request(CallerRequest.Cancel.withoutOrganisation(ID));
       List<SchedulerEffect> effects =
           new ArrayList<>(feed(new SchedulerEvent.JournalBatchRefused()));
       assertEquals(
@@ -220,7 +223,7 @@
               .toList());
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
@@ -232,7 +235,7 @@
       feed(new SchedulerEvent.JournalBatchRefused());
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
@@ -243,7 +246,7 @@
       feed(SchedulerEvent.Recovered.of(List.of(new JournalEntry.Cancelled(ID)), List.of()));
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
@@ -255,42 +258,43 @@
       CallerAnswer submitted = answers(feed(new SchedulerEvent.JournalBatchStored())).get(0);
       assertEquals(Verdict.ACCEPTED, submitted.verdict());
       feed(new SchedulerEvent.JournalBatchStored());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
     @Test
     void takeEffectForJobsOfOtherMembersThatWereNotReadYet() {
-      assertEquals(List.of(), answers(request(new CallerRequest.Cancel(ID))));
+      assertEquals(List.of(), answers(request(CallerRequest.Cancel.withoutOrganisation(ID))));
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalRead(now));
       List<CallerAnswer> answers = answers(feed(new SchedulerEvent.JournalBatchStored()));
       assertEquals(Verdict.CANCELLED, answers.get(0).verdict());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
     @Test
     void takeEffectForJobsThatAreStoredAfterTheyWereFoundToBeUnknown() {
-      List<SchedulerEffect> effects = new ArrayList<>(request(new CallerRequest.Cancel(ID)));
+      List<SchedulerEffect> effects =
+          new ArrayList<>(request(CallerRequest.Cancel.withoutOrganisation(ID)));
       effects.addAll(feed(new SchedulerEvent.JournalRead(now)));
       effects.addAll(feed(new SchedulerEvent.JournalBatchStored()));
       assertEquals(Verdict.UNKNOWN_JOB, answers(effects).get(0).verdict());
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
 
     @Test
     void ofUnknownJobsAreNotAnsweredByReadsThatWereSentBefore() {
-      request(new CallerRequest.Cancel(ID));
+      request(CallerRequest.Cancel.withoutOrganisation(ID));
       assertEquals(List.of(), answers(feed(new SchedulerEvent.JournalRead(now.minusMillis(1)))));
     }
 
     @Test
     void ofUnknownJobsAreUnavailableIfTheJournalIsNotRead() {
-      request(new CallerRequest.Cancel(ID));
+      request(CallerRequest.Cancel.withoutOrganisation(ID));
       Instant later = now.plusSeconds(1);
       CallerAnswer answer =
           answers(scheduler.handle(new SchedulerEvent.Ticked(), later, later)).get(0);
@@ -301,7 +305,7 @@
     @Test
     void ofUnknownJobsAreUnavailableAtOnceIfTheStoreIsNotAvailable() {
       feed(new SchedulerEvent.StoreAvailabilityChanged(false));
-      CallerAnswer answer = answers(request(new CallerRequest.Cancel(ID))).get(0);
+      CallerAnswer answer = answers(request(CallerRequest.Cancel.withoutOrganisation(ID))).get(0);
       assertEquals(Verdict.UNAVAILABLE, answer.verdict());
     }
 
@@ -312,7 +316,7 @@
           new SchedulerEvent.OtherMemberEntriesRead(
               List.of(new JournalEntry.Cancelled(ID), new JournalEntry.Accepted(job()))));
       feed(new SchedulerEvent.JournalBatchStored());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.CANCELLED), shown.state());
     }
   }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEndedJobTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEndedJobTests.java
@@ -47,7 +47,7 @@
   }
 
   private Optional<JobState> shownState() {
-    return answers(request(new CallerRequest.Show(ID))).get(0).state();
+    return answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0).state();
   }
 
   /** A job that ends during the term. */
@@ -58,7 +58,7 @@
     void cancelJob() {
       request(new CallerRequest.Submit(job()));
       feed(new SchedulerEvent.JournalBatchStored());
-      request(new CallerRequest.Cancel(ID));
+      request(CallerRequest.Cancel.withoutOrganisation(ID));
     }
 
     @Test
@@ -81,7 +81,7 @@
       assertEquals(
           List.of(new JournalEntry.Forgotten(ID)), storedAtTickAfter(SETTINGS.retention()));
       feed(new SchedulerEvent.JournalRead(now));
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Verdict.UNKNOWN_JOB, shown.verdict());
     }
 
@@ -134,7 +134,8 @@
     void areNotAffectedByCancellations() {
       recoverWith(JobState.COMPLETE);
       feed(new SchedulerEvent.OtherMemberEntriesRead(List.of(new JournalEntry.Cancelled(ID))));
-      CallerAnswer cancelled = answers(request(new CallerRequest.Cancel(ID))).get(0);
+      CallerAnswer cancelled =
+          answers(request(CallerRequest.Cancel.withoutOrganisation(ID))).get(0);
       assertEquals(Verdict.CANCELLED, cancelled.verdict());
       assertEquals(Optional.of(JobState.COMPLETE), shownState());
     }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerEventTests.java
@@ -235,7 +235,7 @@
       assertFalse(nextRun);
       answerPoll(List.of(new EndedRun(1, RUN, RunEnd.DONE, "")));
       feed(new SchedulerEvent.JournalBatchStored());
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.COMPLETE), shown.state());
     }
   }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/CellSchedulerRestartedWorkerTests.java
@@ -243,7 +243,7 @@
       feed(new SchedulerEvent.WorkerPolled(WORKER, 2, now, 0, new PollResult.Reported(report)));
       storeBatch();
       assertEquals(List.of(), startsAfter(Duration.ofSeconds(20)));
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.COMPLETE), shown.state());
     }
 
@@ -506,7 +506,7 @@
               2, SECOND_CLOCK, List.of(), List.of(new EndedRun(1, RUN, RunEnd.DONE, ""))));
       storeBatch();
       assertEquals(List.of(), startsAfter(Duration.ofSeconds(20)));
-      CallerAnswer shown = answers(request(new CallerRequest.Show(ID))).get(0);
+      CallerAnswer shown = answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0);
       assertEquals(Optional.of(JobState.COMPLETE), shown.state());
     }
 
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/GangAttemptTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/GangAttemptTests.java
@@ -92,7 +92,8 @@
         0,
         Instant.EPOCH,
         Duration.ZERO,
-        NOW);
+        NOW,
+        Optional.empty());
   }
 
   @BeforeEach
@@ -193,7 +194,7 @@
   }
 
   private Optional<JobState> shownState() {
-    return answers(request(new CallerRequest.Show(ID))).get(0).state();
+    return answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0).state();
   }
 
   // A gang of which three tasks failed in its first run was given up.
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/UnknownJobCancellationTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/UnknownJobCancellationTests.java
@@ -45,7 +45,9 @@
   }
 
   private List<SchedulerEffect> cancel(JobId id) {
-    feedAndRecord(new SchedulerEvent.CallerRequestReceived(CALLER, new CallerRequest.Cancel(id)));
+    feedAndRecord(
+        new SchedulerEvent.CallerRequestReceived(
+            CALLER, CallerRequest.Cancel.withoutOrganisation(id)));
     return feedAndRecord(new SchedulerEvent.JournalRead(now));
   }
 
@@ -96,7 +98,7 @@
   }
 
   private Optional<JobState> shownState() {
-    return answers(request(new CallerRequest.Show(ID))).get(0).state();
+    return answers(request(CallerRequest.Show.withoutOrganisation(ID))).get(0).state();
   }
 
   /** When the submission of a cancelled job arrives, and at whom. */
@@ -200,7 +202,9 @@
   void jobsThatNobodySubmittedAreNotShown() {
     cancelUnknownJob();
     beginNextTerm();
-    assertEquals(List.of(Verdict.UNKNOWN_JOB), verdicts(request(new CallerRequest.Show(ID))));
+    assertEquals(
+        List.of(Verdict.UNKNOWN_JOB),
+        verdicts(request(CallerRequest.Show.withoutOrganisation(ID))));
   }
 
   @Nested
@@ -219,11 +223,12 @@
               number ->
                   feed(
                       new SchedulerEvent.CallerRequestReceived(
-                          CALLER, new CallerRequest.Cancel(id(number)))));
+                          CALLER, CallerRequest.Cancel.withoutOrganisation(id(number)))));
       feed(new SchedulerEvent.JournalRead(now));
       confirmStored();
       assertEquals(
-          List.of(Verdict.UNAVAILABLE), verdicts(request(new CallerRequest.Cancel(OTHER_ID))));
+          List.of(Verdict.UNAVAILABLE),
+          verdicts(request(CallerRequest.Cancel.withoutOrganisation(OTHER_ID))));
       submit();
       assertFalse(startsJob());
     }
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/WorkerAvailabilityTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/WorkerAvailabilityTests.java
@@ -102,7 +102,8 @@
             0,
             Instant.EPOCH,
             Duration.ZERO,
-            NOW);
+            NOW,
+            Optional.empty());
     return Job.accepted(job, NOW).steps().get(0);
   }
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -96,6 +96,7 @@
     election = new SchedulerElection(context, this, this::deliverAnswer);
     requestHandler = new ForwardingRequestHandler(context, configurationFollower, election);
     configurationFollower.setReadListener(election::recordStoreAvailability);
+    configurationFollower.setConfigurationListener(election::applyConfiguration);
     election.setNewSchedulerListener(requestHandler::resendOpenRequests);
     election.setNotTakenListener(requestHandler::onNotTaken);
     peerLink =
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
@@ -82,6 +82,8 @@
         0,
         0,
         1,
+        1000,
+        430,
         UNREACHABLE_ADDRESS,
         Optional.of(UNREACHABLE_ADDRESS),
         Duration.ofSeconds(1),
@@ -128,7 +130,15 @@
             false);
     JobId id = new JobId("0123456789abcdef");
     return new JobDefinition(
-        id, queue, "payload", List.of(step), 0, Instant.EPOCH, Duration.ZERO, Instant.now());
+        id,
+        queue,
+        "payload",
+        List.of(step),
+        0,
+        Instant.EPOCH,
+        Duration.ZERO,
+        Instant.now(),
+        Optional.empty());
   }
 
   private static void exerciseScheduler() {
@@ -192,7 +202,8 @@
                 Optional.of(new MemberMessage.PendingCount(Map.of("queue", 1), 1, 1)),
                 Set.of("member")),
             new MemberMessage.ForwardedRequest(1, new CallerRequest.Submit(sampleJob())),
-            new MemberMessage.ForwardedRequest(1, new CallerRequest.Show(sampleJob().id())),
+            new MemberMessage.ForwardedRequest(
+                1, CallerRequest.Show.withoutOrganisation(sampleJob().id())),
             new MemberMessage.ForwardedAnswer(1, CallerAnswer.of(CallerAnswer.Verdict.ACCEPTED)));
     messages.forEach(
         message -> codec.decode(codec.encode(new MemberMessage.MemberEnvelope("me", message))));
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationFollower.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationFollower.java
@@ -33,6 +33,7 @@
   private volatile Optional<CellConfiguration> current = Optional.empty();
   private boolean storeAvailable = true;
   private volatile Consumer<Either<StoreFailure, StorePage>> readListener = result -> {};
+  private volatile Consumer<CellConfiguration> configurationListener = configuration -> {};
 
   ConfigurationFollower(MetadataStore store, DecisionLog log) {
     this.store = store;
@@ -48,6 +49,11 @@
     readListener = listener;
   }
 
+  /** Sets what receives each configuration that comes into force. */
+  void setConfigurationListener(Consumer<CellConfiguration> listener) {
+    configurationListener = listener;
+  }
+
   @Override
   public void run() {
     Optional<Long> nextOffset = Optional.empty();
@@ -117,6 +123,7 @@
       log.write(
           "configuration in force",
           Map.of("version", decoded.version(), "routes", decoded.routes().size()));
+      configurationListener.accept(decoded);
     }
   }
 }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -12,6 +12,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 import java.util.stream.Stream;
+import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.engine.scheduler.CallerRequestId;
@@ -87,6 +88,7 @@
   private volatile Instant storeAnsweredAt = Instant.MIN;
   private volatile Optional<PendingJobs> reportedPendingJobs = Optional.empty();
   private volatile Set<String> memberAddresses = Set.of();
+  private volatile Optional<CellConfiguration> configuration = Optional.empty();
   private volatile Runnable newSchedulerListener = () -> {};
   private volatile LongConsumer notTakenListener = number -> {};
   private final ElectionPolicy policy;
@@ -449,13 +451,16 @@
 
   private void beginTerm() {
     Optional<SchedulerTerm> begun =
-        SchedulerTerm.begin(context, liveWorkers, memberAddresses, transport, localAnswerSink);
+        SchedulerTerm.begin(
+            context, configuration, liveWorkers, memberAddresses, transport, localAnswerSink);
     begun.ifPresent(this::takeOver);
   }
 
   private void takeOver(SchedulerTerm term) {
     synchronized (leadershipLock) {
       ownTerm = Optional.of(term);
+      // A configuration that came into force while the term began has not reached it.
+      configuration.ifPresent(term::applyConfiguration);
       newestTerm = Math.max(newestTerm, term.term());
       schedulerLeads = false;
       announceTerm(term);
@@ -469,6 +474,14 @@
     }
   }
 
+  /** Passes a configuration that came into force to this member's term, now or when one begins. */
+  void applyConfiguration(CellConfiguration newer) {
+    synchronized (leadershipLock) {
+      configuration = Optional.of(newer);
+      activeTerm().ifPresent(term -> term.applyConfiguration(newer));
+    }
+  }
+
   /** Announces the new term to the members that the last scheduler listed. */
   private void announceTerm(SchedulerTerm term) {
     for (String member : memberAddresses) {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -17,6 +17,7 @@
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.hyssopport.engine.advice.Ticket;
+import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerRequest;
@@ -132,6 +133,7 @@
    * Begins a term: records it in the store, fences older terms and reads the journal.
    *
    * @param context what the components of the member share
+   * @param configuration the configuration in force, if the member knows one
    * @param liveWorkers what the member knows of the live list
    * @param inheritedMembers the addresses of the members that the last scheduler listed
    * @param transport sends messages to members
@@ -140,6 +142,7 @@
    */
   static Optional<SchedulerTerm> begin(
       MemberContext context,
+      Optional<CellConfiguration> configuration,
       LiveWorkerCache liveWorkers,
       Set<String> inheritedMembers,
       MemberTransport transport,
@@ -160,10 +163,10 @@
     SchedulerTerm newTerm =
         new SchedulerTerm(
             context, offset.get() + 1, liveWorkers, inheritedMembers, transport, localAnswerSink);
-    return newTerm.recover() ? Optional.of(newTerm) : Optional.empty();
+    return newTerm.recover(configuration) ? Optional.of(newTerm) : Optional.empty();
   }
 
-  private boolean recover() {
+  private boolean recover(Optional<CellConfiguration> configuration) {
     if (!journalWriter.fenceOlderTerms()) {
       return false;
     }
@@ -180,6 +183,7 @@
     nextUnreadOffset.set(entries.get().nextOffset());
     incarnations = liveWorkers.incarnations();
     context.log().write("term begun", Map.of("term", term, "journal", entries.get().nextOffset()));
+    configuration.ifPresent(this::applyConfiguration);
     eventQueue.put(
         new SchedulerEvent.Recovered(
             JournalCodec.decodeAll(entries.get().records(), context.log()),
@@ -239,6 +243,11 @@
     }
   }
 
+  /** Queues a configuration that is in force; older ones have no effect. */
+  void applyConfiguration(CellConfiguration configuration) {
+    enqueue(new SchedulerEvent.ConfigurationChanged(configuration));
+  }
+
   /**
    * Queues a caller's request. Until the term has recovered, requests wait behind its recovery.
    *
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/AbstractForwardingRequestHandlerTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/AbstractForwardingRequestHandlerTests.java
@@ -27,9 +27,9 @@
   static final CallerRequest SUBMIT =
       new CallerRequest.Submit(SampleJobs.job(JOB, SampleJobs.QUEUE, List.of(), Instant.EPOCH));
 
-  static final CallerRequest SHOW = new CallerRequest.Show(JOB);
+  static final CallerRequest SHOW = CallerRequest.Show.withoutOrganisation(JOB);
 
-  static final CallerRequest CANCEL = new CallerRequest.Cancel(JOB);
+  static final CallerRequest CANCEL = CallerRequest.Cancel.withoutOrganisation(JOB);
 
   /** Longer than the handler waits for a scheduler that sends no heartbeats. */
   static final long SLOW_ANSWER_MILLIS = 1000;
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/CellMemberTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/CellMemberTests.java
@@ -84,6 +84,8 @@
             0,
             0,
             1,
+            1000,
+            430,
             address,
             Optional.of(address),
             Duration.ofSeconds(1),
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
@@ -84,7 +84,8 @@
         times,
         firstDue,
         interval,
-        Instant.parse("2026-12-05T00:00:00Z"));
+        Instant.parse("2026-12-05T00:00:00Z"),
+        Optional.empty());
   }
 
   private static JobDefinition validJob() {
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberContexts.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberContexts.java
@@ -47,6 +47,8 @@
             1,
             0,
             processors,
+            1000,
+            430,
             storeAddress,
             Optional.empty(),
             Duration.ofSeconds(1),
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SampleJobs.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SampleJobs.java
@@ -43,6 +43,7 @@
   /** Returns a job that runs once. */
   static JobDefinition job(
       JobId id, QueuePolicy queue, List<StepDefinition> steps, Instant acceptedAt) {
-    return new JobDefinition(id, queue, "", steps, 0, Instant.EPOCH, Duration.ZERO, acceptedAt);
+    return new JobDefinition(
+        id, queue, "", steps, 0, Instant.EPOCH, Duration.ZERO, acceptedAt, Optional.empty());
   }
 }
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
@@ -27,7 +27,8 @@
   private static final String SCHEDULER = "127.0.0.1:2";
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
 
-  private static final CallerRequest SHOW = new CallerRequest.Show(new JobId("0123456789abcdef"));
+  private static final CallerRequest SHOW =
+      CallerRequest.Show.withoutOrganisation(new JobId("0123456789abcdef"));
 
   private final List<String> sentTo = new ArrayList<>();
   private Instant now = START;
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerTermTests.java
@@ -55,7 +55,8 @@
   private static final int MORE_THAN_ONE_DECISION = 600;
 
   private static final CallerRequestId CALLER = new CallerRequestId("127.0.0.1:9", 7);
-  private static final CallerRequest SHOW = new CallerRequest.Show(new JobId("0123456789abcdef"));
+  private static final CallerRequest SHOW =
+      CallerRequest.Show.withoutOrganisation(new JobId("0123456789abcdef"));
 
   private final ExecutorService storeThreads = Executors.newCachedThreadPool();
   private final CompletableFuture<SchedulerTerm> begunTerm = new CompletableFuture<>();
@@ -89,7 +90,12 @@
     LiveWorkerCache liveWorkers =
         new LiveWorkerCache(context.store(), context.log(), context.clock());
     return SchedulerTerm.begin(
-        context, liveWorkers, Set.of(), new AdvisingTransport(), (number, answer) -> {});
+        context,
+        Optional.empty(),
+        liveWorkers,
+        Set.of(),
+        new AdvisingTransport(),
+        (number, answer) -> {});
   }
 
   /** Lets the term recover and waits until it has. */
--- a/hyssopport-protocol/src/test/java/org/hyssopport/protocol/MessagePackCodecTests.java
+++ b/hyssopport-protocol/src/test/java/org/hyssopport/protocol/MessagePackCodecTests.java
@@ -60,7 +60,8 @@
         0,
         Instant.EPOCH,
         Duration.ZERO,
-        Instant.EPOCH);
+        Instant.EPOCH,
+        Optional.empty());
   }
 
   private static <M> Either<String, M> decodeOnSmallStack(MessagePackCodec<M> codec, byte[] bytes)
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/PeakLoad.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/PeakLoad.java
@@ -261,7 +261,15 @@
     simulation.workers().setWorkDuration(id, realDuration);
     JobDefinition job =
         new JobDefinition(
-            id, kind.queue(size), "", steps, 0, Instant.EPOCH, Duration.ZERO, Instant.EPOCH);
+            id,
+            kind.queue(size),
+            "",
+            steps,
+            0,
+            Instant.EPOCH,
+            Duration.ZERO,
+            Instant.EPOCH,
+            Optional.empty());
     // A processor-second is 1e6 thousandths of a processor times milliseconds.
     double relativeWork = job.work() * 1e6 / kind.meanWork(size);
     double worth =
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
@@ -243,7 +243,16 @@
     lastNumber++;
     JobId id = new JobId(String.format("%016x", lastNumber));
     JobDefinition job =
-        new JobDefinition(id, queue, "payload", steps, 0, Instant.EPOCH, Duration.ZERO, time.now());
+        new JobDefinition(
+            id,
+            queue,
+            "payload",
+            steps,
+            0,
+            Instant.EPOCH,
+            Duration.ZERO,
+            time.now(),
+            Optional.empty());
     submitted.put(id, job);
     workers.runChecker().recordSubmission(id, steps, queue.attempts());
     queue.advice().ifPresent(advice -> workers.tickets().requireFor(id));
@@ -253,7 +262,7 @@
   /** Cancels a job; the request is repeated until the cancellation is confirmed. */
   public void cancel(JobId id) {
     jobsWithCancellation.add(id);
-    sendRequest(new CallerRequest.Cancel(id));
+    sendRequest(CallerRequest.Cancel.withoutOrganisation(id));
   }
 
   /**
@@ -289,7 +298,7 @@
 
   /** Requests the state of every accepted job from the current scheduler, if there is one. */
   public void requestJobStates() {
-    acceptedAt.keySet().forEach(id -> sendRequest(new CallerRequest.Show(id)));
+    acceptedAt.keySet().forEach(id -> sendRequest(CallerRequest.Show.withoutOrganisation(id)));
   }
 
   private void sendRequest(CallerRequest request) {
