Rank members by processors, link and memory for leadership

Cause: ElectionPolicy asked for 0.7 cores and looked at no link.

Change: SchedulerRank ranks a member by its settings. Suited members are candidates at once, others later by rank. A heartbeat states the rank; one of an earlier version that is better suited counts as a member with enough processors and an unknown link. A scheduler hands over to a better ranked member whose heartbeats still arrive.

The tests of candidacy keep their cases; FALLBACK_CANDIDACY_DELAY is now the delay of the rank.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ClassArchiveWarmUp.java
@@ -195,7 +195,7 @@
         MessagePackCodec.of(MemberMessage.MemberEnvelope.class);
     List<MemberMessage> messages =
         List.of(
-            new MemberMessage.MemberHeartbeat("nowhere", false, true, 1),
+            new MemberMessage.MemberHeartbeat("nowhere", false, true, Optional.of(0), 1),
             new MemberMessage.LeaderHeartbeat(
                 1,
                 true,
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
@@ -4,15 +4,16 @@
 import java.time.Instant;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Decides whether a member is a candidate in the election of the scheduler, begins a term, and
  * hands over leadership.
  *
- * <p>Optimised for a cell of unequal instances: a scheduler of some 250 workers needs more
- * processor time than the smallest instances have. Members with enough processor time are always
- * candidates; the others become candidates only after a scheduler has been silent for longer than a
- * capable member takes to replace one. All members serve callers, whether they are candidates or
+ * <p>Optimised for a cell of unequal instances: a scheduler of some 250 workers needs more than the
+ * smallest instances have, as {@link SchedulerRank} says. Suited members are always candidates; the
+ * others become candidates, by rank, only after a scheduler has been silent for longer than a
+ * suited member takes to replace one. All members serve callers, whether they are candidates or
  * not.
  */
 final class ElectionPolicy {
@@ -20,20 +21,12 @@
   /** After three lost heartbeats, the scheduler is no longer considered alive. */
   static final Duration SCHEDULER_TIMEOUT = Duration.ofMillis(700);
 
-  /**
-   * The highest processor use of a scheduler with 250 workers and 440 starts a second, in cores.
-   */
-  static final double REQUIRED_PROCESSORS = 0.7;
-
-  /** How long a capable member takes to replace a scheduler whose loss is known. */
+  /** How long a suited member takes to replace a scheduler whose loss is known. */
   static final Duration USUAL_TAKE_OVER_TIME = Duration.ofMillis(1500);
 
-  /** Twice the time that a capable member takes to replace a scheduler that died. */
-  static final Duration FALLBACK_CANDIDACY_DELAY = Duration.ofSeconds(3);
-
   /**
-   * The least time between two hand-overs by a member without enough processors, which gets
-   * leadership back if no capable member takes over.
+   * The least time between two hand-overs by a member, which gets leadership back if no better
+   * ranked one takes over.
    */
   static final Duration MINIMUM_HAND_OVER_INTERVAL = Duration.ofSeconds(10);
 
@@ -52,28 +45,28 @@
    */
   private static final Duration JOIN_INTERVAL_WITHOUT_SCHEDULER = Duration.ofMillis(100);
 
-  private final boolean hasRequiredProcessors;
+  private final SchedulerRank rank;
   private final Instant startedAt;
   private Instant earliestNextHandOver = Instant.MIN;
 
-  private ElectionPolicy(boolean hasRequiredProcessors, Instant startedAt) {
-    this.hasRequiredProcessors = hasRequiredProcessors;
+  private ElectionPolicy(SchedulerRank rank, Instant startedAt) {
+    this.rank = rank;
     this.startedAt = startedAt;
   }
 
   /**
    * Returns the policy of a member.
    *
-   * @param processors how many cores the member may use
+   * @param rank how well it suits a scheduler
    * @param startedAt when it started, by the local monotonic clock
    */
-  static ElectionPolicy of(double processors, Instant startedAt) {
-    return new ElectionPolicy(processors >= REQUIRED_PROCESSORS, startedAt);
+  static ElectionPolicy of(SchedulerRank rank, Instant startedAt) {
+    return new ElectionPolicy(rank, startedAt);
   }
 
-  /** Returns whether this member has the processors that a scheduler needs. */
-  boolean hasRequiredProcessors() {
-    return hasRequiredProcessors;
+  /** Returns how well this member suits a scheduler. */
+  SchedulerRank rank() {
+    return rank;
   }
 
   /**
@@ -82,15 +75,15 @@
    * @param now the current time by the local monotonic clock
    * @param schedulerSeenAt when the last heartbeat of a scheduler arrived
    * @param storeRegainedAt when the store last became available to this member; until then, no
-   *     capable member could replace the scheduler
+   *     suited member could replace the scheduler
    * @param leading whether this member is the scheduler
    */
   boolean isCandidate(
       Instant now, Instant schedulerSeenAt, Instant storeRegainedAt, boolean leading) {
     Instant replaceableSince = latest(startedAt, schedulerSeenAt, storeRegainedAt);
-    return hasRequiredProcessors
+    return rank == SchedulerRank.SUITED
         || leading
-        || !now.isBefore(replaceableSince.plus(FALLBACK_CANDIDACY_DELAY));
+        || !now.isBefore(replaceableSince.plus(rank.candidacyDelay()));
   }
 
   private static Instant latest(Instant... instants) {
@@ -151,9 +144,15 @@
     ANSWERED
   }
 
-  /** Returns whether this member, as the scheduler, hands over to a better suited member now. */
-  boolean shouldHandOver(Instant now) {
-    return !hasRequiredProcessors && !now.isBefore(earliestNextHandOver);
+  /**
+   * Returns whether this member, as the scheduler, hands over to a better ranked member now.
+   *
+   * @param now the current time by the local monotonic clock
+   * @param bestSuccessor the best rank among the other members that reach the store
+   */
+  boolean shouldHandOver(Instant now, Optional<SchedulerRank> bestSuccessor) {
+    return bestSuccessor.filter(other -> other.isBetterThan(rank)).isPresent()
+        && !now.isBefore(earliestNextHandOver);
   }
 
   /** Records that leadership was handed over. */
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -94,12 +94,12 @@
   private final ElectionPolicy policy;
   private final LiveWorkerCache liveWorkers;
   private final NotTakenRequests notTakenRequests;
+  private final Successors successors = new Successors();
 
   /** Orders the announcement of a term and its hand-over, also if the member leaves meanwhile. */
   private final Object leadershipLock = new Object();
 
   private volatile boolean leaving;
-  private volatile boolean betterSuitedMemberSeen;
   private boolean joined;
   private long generation;
   private volatile boolean storeAvailable = true;
@@ -117,7 +117,7 @@
     this.notLeadingSince = startedAt;
     this.notTakenRequests = new NotTakenRequests(context);
     this.liveWorkers = new LiveWorkerCache(context.store(), context.log(), context.clock());
-    this.policy = ElectionPolicy.of(context.settings().processors(), startedAt);
+    this.policy = ElectionPolicy.of(SchedulerRank.of(context.settings()), startedAt);
   }
 
   private Optional<SchedulerTerm> activeTerm() {
@@ -200,9 +200,9 @@
     } else if (message instanceof MemberMessage.MemberHeartbeat memberHeartbeat
         && term.isPresent()) {
       term.get().onMemberHeartbeat(sender, memberHeartbeat.leaving());
-      betterSuitedMemberSeen |= memberHeartbeat.betterSuited();
-      boolean reachesStore = term.get().storeAnsweredWithin(STORE_TIMEOUT);
       Instant now = context.clock().instant();
+      successors.record(sender, SchedulerRank.statedIn(memberHeartbeat), now);
+      boolean reachesStore = term.get().storeAnsweredWithin(STORE_TIMEOUT);
       transport.send(
           sender,
           new MemberMessage.LeaderHeartbeat(
@@ -355,17 +355,21 @@
         context.clock().instant(), schedulerSeenAt, storeRegainedAt, activeTerm().isPresent());
   }
 
-  /** Hands over leadership if a better suited member has sent a heartbeat. */
+  /** Hands over leadership if a better ranked member sends heartbeats. */
   private void handOverIfDue() {
     Instant now = context.clock().instant();
     Optional<SchedulerTerm> term = activeTerm();
-    if (term.isEmpty()) {
-      betterSuitedMemberSeen = false;
-    } else if (betterSuitedMemberSeen && policy.shouldHandOver(now)) {
+    Optional<SchedulerRank> bestSuccessor = successors.bestRank(now);
+    if (term.isPresent() && policy.shouldHandOver(now, bestSuccessor)) {
       policy.recordHandOver(now);
       // Delays the next candidacy of this member, so that the other one can take over.
       schedulerSeenAt = now;
-      handOver(term.get(), "a better suited member is available");
+      handOver(
+          term.get(),
+          "a better ranked member is available: "
+              + bestSuccessor.orElseThrow()
+              + ", not "
+              + policy.rank());
       leaveGroup();
     }
   }
@@ -402,7 +406,7 @@
       return;
     }
     if (!isCandidate()) {
-      // The call was the first one to reach the store again; capable members get their chance.
+      // The call was the first one to reach the store again; suited members get their chance.
       leaveGroup();
       return;
     }
@@ -525,7 +529,8 @@
    * Keeps the live list known while this member may become the scheduler; a term reads it itself.
    */
   void runLiveList() {
-    while (policy.hasRequiredProcessors() && Threads.pause(STANDBY_LIVE_LIST_INTERVAL_MILLIS)) {
+    while (policy.rank() == SchedulerRank.SUITED
+        && Threads.pause(STANDBY_LIVE_LIST_INTERVAL_MILLIS)) {
       if (activeTerm().isEmpty()) {
         Threads.runRound("live-list", liveWorkers::refresh);
       }
@@ -557,11 +562,12 @@
   }
 
   private MemberMessage.MemberHeartbeat heartbeat() {
-    boolean betterSuited = policy.hasRequiredProcessors() && storeAvailable && !leaving;
+    boolean mayLead = storeAvailable && !leaving;
     return new MemberMessage.MemberHeartbeat(
         context.settings().failureDomain(),
         leaving,
-        betterSuited,
+        mayLead && policy.rank() == SchedulerRank.SUITED,
+        mayLead ? Optional.of(policy.rank().number()) : Optional.empty(),
         context.clock().instant().toEpochMilli());
   }
 
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionLoopTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionLoopTests.java
@@ -1,6 +1,7 @@
 package org.hyssopport.launcher.cell;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -20,6 +21,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicReference;
+import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.protocol.MemberMessage;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -31,6 +34,9 @@
 
   private static final String OTHER_MEMBER = "127.0.0.1:2";
 
+  private static final CallerRequest SHOW =
+      CallerRequest.Show.withoutOrganisation(new JobId("0123456789abcdef"));
+
   private final ExecutorService storeThreads = Executors.newCachedThreadPool();
   private final CountDownLatch termAppendReceived = new CountDownLatch(1);
   private final CountDownLatch termAppendReleased = new CountDownLatch(1);
@@ -50,16 +56,18 @@
     store.createContext("/api/log-leave", exchange -> answerGroupCall(exchange, "leave"));
     store.setExecutor(storeThreads);
     store.start();
-    election = createElection(new MonotonicClock(), 1);
+    election = createElection(new MonotonicClock(), 1, 1000);
   }
 
-  private SchedulerElection createElection(InstantSource clock, double processors) {
+  private SchedulerElection createElection(
+      InstantSource clock, double processors, double linkMegabits) {
     MemberContext context =
         MemberContexts.create(
             "127.0.0.1:" + store.getAddress().getPort(),
             clock,
             OutputStream.nullOutputStream(),
-            processors);
+            processors,
+            linkMegabits);
     return new SchedulerElection(context, new RecordingTransport(), (number, answer) -> {});
   }
 
@@ -145,8 +153,8 @@
   @Timeout(30)
   void smallMembersLeaveTheNextTermToOthersWhenTheStoreReturns() throws InterruptedException {
     AtomicReference<Instant> now = new AtomicReference<>(Instant.parse("2026-01-01T00:00:00Z"));
-    election = createElection(now::get, 0.36);
-    now.updateAndGet(start -> start.plus(ElectionPolicy.FALLBACK_CANDIDACY_DELAY));
+    election = createElection(now::get, 0.36, 1000);
+    now.updateAndGet(start -> start.plus(SchedulerRank.FEW_PROCESSORS.candidacyDelay()));
     storeDown = true;
     Threads.start("membership", election::runMembership);
     assertEquals("join", groupCalls.take());
@@ -160,6 +168,31 @@
     election.leave();
   }
 
+  // It went on leading, and its orders reached the workers 1.6 s late.
+  @Test
+  @Timeout(30)
+  void membersWithNarrowLinksHandOverToMembersWithWideOnes() throws InterruptedException {
+    AtomicReference<Instant> now = new AtomicReference<>(Instant.parse("2026-01-01T00:00:00Z"));
+    election = createElection(now::get, 0.9, 7);
+    termAppendReleased.countDown();
+    now.updateAndGet(start -> start.plus(SchedulerRank.NARROW_LINK.candidacyDelay()));
+    Threads.start("membership", election::runMembership);
+    while (election.trySend(1, SHOW).isEmpty()) {
+      assertTrue(Threads.pause(10));
+    }
+    election.receive(
+        OTHER_MEMBER, new MemberMessage.MemberHeartbeat("ourthe", false, true, Optional.of(0), 1));
+    MemberMessage message = messages.take();
+    while (!message.equals(new MemberMessage.NotLeading(1))) {
+      message = messages.take();
+    }
+    while (!groupCalls.take().equals("leave")) {
+      // Joins until then.
+    }
+    assertEquals(Optional.empty(), election.trySend(2, SHOW));
+    election.leave();
+  }
+
   // A record that named no usable address ended the thread that keeps the member in the election.
   @Test
   @Timeout(30)
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.hyssopport.launcher.cell.ElectionPolicy.LastSchedulerContact;
 import org.hyssopport.launcher.cell.ElectionPolicy.SchedulerContact;
 import org.junit.jupiter.api.Test;
@@ -17,6 +18,48 @@
 
   private static final Instant START = Instant.parse("2026-12-04T06:00:00Z");
 
+  private static final Optional<SchedulerRank> SUITED_SUCCESSOR = Optional.of(SchedulerRank.SUITED);
+
+  private static ElectionPolicy policyOf(double processors) {
+    return ElectionPolicy.of(SchedulerRank.of(processors, 1000, 430), START);
+  }
+
+  // The one with a narrow link was a candidate at once, led, and a calm day was lost.
+  @ParameterizedTest
+  @CsvSource({
+    "SUITED, 0, true",
+    "NARROW_LINK, 2249, false",
+    "NARROW_LINK, 2250, true",
+    "FEW_PROCESSORS, 2999, false",
+    "FEW_PROCESSORS, 3000, true",
+    "UNSUITED, 2999, false",
+    "UNSUITED, 3000, true"
+  })
+  void candidacyDependsOnRankAndSilence(SchedulerRank rank, long silentMillis, boolean expected) {
+    ElectionPolicy policy = ElectionPolicy.of(rank, START);
+    Instant schedulerSeenAt = START.plusSeconds(60);
+    assertEquals(
+        expected,
+        policy.isCandidate(
+            schedulerSeenAt.plusMillis(silentMillis), schedulerSeenAt, Instant.MIN, false));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "SUITED, SUITED, false",
+    "NARROW_LINK, SUITED, true",
+    "NARROW_LINK, NARROW_LINK, false",
+    "NARROW_LINK, FEW_PROCESSORS, false",
+    "FEW_PROCESSORS, NARROW_LINK, true",
+    "UNSUITED, FEW_PROCESSORS, true",
+    "NARROW_LINK,, false"
+  })
+  void leadershipIsHandedOverToBetterRankedMembersOnly(
+      SchedulerRank rank, SchedulerRank bestSuccessor, boolean expected) {
+    ElectionPolicy policy = ElectionPolicy.of(rank, START);
+    assertEquals(expected, policy.shouldHandOver(START, Optional.ofNullable(bestSuccessor)));
+  }
+
   @ParameterizedTest
   @CsvSource({
     "0.75, 0, false, true",
@@ -28,7 +71,7 @@
   })
   void candidacyDependsOnProcessorsAndSilence(
       double processors, long silentMillis, boolean leading, boolean expected) {
-    ElectionPolicy policy = ElectionPolicy.of(processors, START);
+    ElectionPolicy policy = policyOf(processors);
     Instant schedulerSeenAt = START.plusSeconds(60);
     assertEquals(
         expected,
@@ -38,7 +81,7 @@
 
   @Test
   void smallMembersDelayTheirCandidacyAfterTheirStart() {
-    ElectionPolicy policy = ElectionPolicy.of(0.36, START);
+    ElectionPolicy policy = policyOf(0.36);
     assertFalse(policy.isCandidate(START.plusSeconds(1), Instant.MIN, Instant.MIN, false));
     assertTrue(policy.isCandidate(START.plusSeconds(3), Instant.MIN, Instant.MIN, false));
   }
@@ -49,7 +92,7 @@
   @CsvSource({"0.36, 0, false", "0.36, 2900, false", "0.36, 3000, true", "0.75, 0, true"})
   void smallMembersDelayTheirCandidacyAfterAnOutageOfTheStore(
       double processors, long millisSinceOutage, boolean expected) {
-    ElectionPolicy policy = ElectionPolicy.of(processors, START);
+    ElectionPolicy policy = policyOf(processors);
     Instant storeRegainedAt = START.plusSeconds(60);
     Instant schedulerSeenAt = storeRegainedAt.minusSeconds(7);
     assertEquals(
@@ -63,16 +106,16 @@
 
   @Test
   void smallMembersHandOverOnceAndThenKeepLeadershipForSomeTime() {
-    ElectionPolicy policy = ElectionPolicy.of(0.36, START);
-    assertTrue(policy.shouldHandOver(START));
+    ElectionPolicy policy = policyOf(0.36);
+    assertTrue(policy.shouldHandOver(START, SUITED_SUCCESSOR));
     policy.recordHandOver(START);
-    assertFalse(policy.shouldHandOver(START.plusSeconds(9)));
-    assertTrue(policy.shouldHandOver(START.plusSeconds(10)));
+    assertFalse(policy.shouldHandOver(START.plusSeconds(9), SUITED_SUCCESSOR));
+    assertTrue(policy.shouldHandOver(START.plusSeconds(10), SUITED_SUCCESSOR));
   }
 
   @Test
   void membersWithRequiredProcessorsNeverHandOver() {
-    assertFalse(ElectionPolicy.of(0.75, START).shouldHandOver(START));
+    assertFalse(policyOf(0.75).shouldHandOver(START, SUITED_SUCCESSOR));
   }
 
   @ParameterizedTest
@@ -85,7 +128,7 @@
   })
   void membersThatHaveJustStartedWaitForTheLastScheduler(
       long uptimeMillis, LastSchedulerContact lastContact, boolean expected) {
-    ElectionPolicy policy = ElectionPolicy.of(0.75, START);
+    ElectionPolicy policy = policyOf(0.75);
     SchedulerContact contact = new SchedulerContact(Instant.MIN, false, false, lastContact);
     assertEquals(
         expected, policy.mayBeginTerm(START.plusMillis(uptimeMillis), contact, Instant.MIN));
@@ -95,7 +138,7 @@
   @CsvSource({"699, true, false", "700, true, true", "100, false, true"})
   void termsBeginWhenTheSchedulerIsSilentOrHasLostTheStore(
       long silentMillis, boolean schedulerReachedStore, boolean expected) {
-    ElectionPolicy policy = ElectionPolicy.of(0.75, START);
+    ElectionPolicy policy = policyOf(0.75);
     Instant schedulerSeenAt = START.plusSeconds(60);
     SchedulerContact contact =
         new SchedulerContact(
@@ -115,7 +158,7 @@
   })
   void schedulersThatLeadGetTheTimeToReachTheStoreAfterAnOutage(
       boolean leads, long silentMillis, long millisSinceOutage, boolean expected) {
-    ElectionPolicy policy = ElectionPolicy.of(0.75, START);
+    ElectionPolicy policy = policyOf(0.75);
     Instant now = START.plusSeconds(60);
     SchedulerContact contact =
         new SchedulerContact(
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberContexts.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/MemberContexts.java
@@ -17,14 +17,14 @@
   private MemberContexts() {}
 
   /**
-   * Returns the context of a member with one core.
+   * Returns the context of a member with one core and a wide link.
    *
    * @param storeAddress the host and port of the store
    * @param clock the local monotonic clock
    * @param logOutput receives the lines of the member's log
    */
   static MemberContext create(String storeAddress, InstantSource clock, OutputStream logOutput) {
-    return create(storeAddress, clock, logOutput, 1);
+    return create(storeAddress, clock, logOutput, 1, 1000);
   }
 
   /**
@@ -34,9 +34,14 @@
    * @param clock the local monotonic clock
    * @param logOutput receives the lines of the member's log
    * @param processors how many cores the member may use
+   * @param linkMegabits the bandwidth of its link in Mbit/s
    */
   static MemberContext create(
-      String storeAddress, InstantSource clock, OutputStream logOutput, double processors) {
+      String storeAddress,
+      InstantSource clock,
+      OutputStream logOutput,
+      double processors,
+      double linkMegabits) {
     InstanceSettings settings =
         new InstanceSettings(
             "member",
@@ -47,7 +52,7 @@
             1,
             0,
             processors,
-            1000,
+            linkMegabits,
             430,
             storeAddress,
             Optional.empty(),
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -39,11 +39,18 @@
    * @param leaving whether the sender is shutting down
    * @param betterSuited whether the sender has the resources that a scheduler needs and reaches the
    *     store
+   * @param schedulerRank how well the sender suits a scheduler, the lower the better, 0 if it has
+   *     all that one needs; empty if it does not reach the store or is shutting down, or if the
+   *     version of the sender does not state it
    * @param sentAtMillis when it was sent, in milliseconds of the sender's clock; the answer repeats
    *     it
    */
   record MemberHeartbeat(
-      String failureDomain, boolean leaving, boolean betterSuited, long sentAtMillis)
+      String failureDomain,
+      boolean leaving,
+      boolean betterSuited,
+      Optional<Integer> schedulerRank,
+      long sentAtMillis)
       implements MemberMessage {}
 
   /**
--- a/hyssopport-protocol/src/test/java/org/hyssopport/protocol/MemberMessageTests.java
+++ b/hyssopport-protocol/src/test/java/org/hyssopport/protocol/MemberMessageTests.java
@@ -34,4 +34,25 @@
         new MemberMessage.LeaderHeartbeat(7, true, Optional.empty(), Set.of("a:1")),
         envelope.message());
   }
+
+  @Test
+  void heartbeatsOfEarlierVersionsStateNoRank() {
+    Map<String, Object> heartbeat =
+        Map.of(
+            "t",
+            "p",
+            "failureDomain",
+            "a",
+            "leaving",
+            false,
+            "betterSuited",
+            true,
+            "sentAtMillis",
+            7);
+    byte[] payload =
+        MessagePackCodec.of(Map.class).encode(Map.of("sender", "a:1", "message", heartbeat));
+    assertEquals(
+        new MemberMessage.MemberHeartbeat("a", false, true, Optional.empty(), 7),
+        MessagePackCodec.of(MemberMessage.MemberEnvelope.class).decode(payload).get().message());
+  }
 }
