Send no start whose ticket runs out before it arrives

Cause: a ticket was looked at only when its task was placed, not once the assignment was stored, nor before an order was sent or sent again.

Change: orders carry the ticket with its expiry. Log line "start not sent: ticket expired", counter hyssopport_cell_orders.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/OrderResult.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/OrderResult.java
@@ -24,6 +24,10 @@
   UNHEALTHY,
   /** The worker rejected the order as malformed or for a cause that is not listed here. */
   INVALID,
+  /**
+   * The ticket had run out, or would have before the order's arrival, so the order was never sent.
+   */
+  TICKET_EXPIRED,
   /** No connection was established, so the order was never sent. */
   NOT_SENT,
   /** No answer arrived; the order may have been carried out or may still be. */
@@ -31,6 +35,11 @@
 
   /** Returns whether the worker itself answered. */
   public boolean isAnswer() {
-    return this != NOT_SENT && this != UNANSWERED;
+    return this != NOT_SENT && this != UNANSWERED && this != TICKET_EXPIRED;
+  }
+
+  /** Returns whether the worker was called; otherwise the result says nothing of it. */
+  public boolean isFromCall() {
+    return this != TICKET_EXPIRED;
   }
 }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -160,11 +160,10 @@
     int gangRunNumber = step.nextRunNumber();
     for (int index = 0; index < chosen.size(); index++) {
       TrackedWorker worker = workers.find(chosen.get(index)).orElseThrow();
-      Optional<String> ticketText =
-          validTicket(stepAdvice, worker, ticketsValidAt).map(Ticket::text);
+      Optional<Ticket> ticket = validTicket(stepAdvice, worker, ticketsValidAt);
       Task task = waiting.get(index);
       int runNumber = step.definition().gang() ? gangRunNumber : task.lastRunNumber() + 1;
-      runManager.assignRun(step, task, runNumber, worker, ticketText);
+      runManager.assignRun(step, task, runNumber, worker, ticket);
     }
     if (chosen.isEmpty()) {
       unplacedSince.putIfAbsent(step.id(), context.now());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.hyssopport.engine.advice.Ticket;
 import org.hyssopport.engine.job.Job;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.Step;
@@ -64,7 +65,7 @@
 
   /** Assigns a run to a worker and orders its start once the assignment is stored. */
   void assignRun(
-      Step step, Task task, int runNumber, TrackedWorker worker, Optional<String> ticket) {
+      Step step, Task task, int runNumber, TrackedWorker worker, Optional<Ticket> ticket) {
     task.assign(runNumber, worker.id(), worker.description().incarnation());
     RunId runId = new RunId(task.id(), runNumber);
     TrackedRun trackedRun = TrackedRun.of(runId, step, RunPhase.STORING, context.now());
@@ -80,10 +81,12 @@
     if (!current || trackedRun.phase() != RunPhase.STORING) {
       return;
     }
-    if (worker.acceptsWork()) {
-      sendStart(worker, trackedRun);
-    } else {
+    if (!worker.acceptsWork()) {
       releaseRun(worker, trackedRun, "worker stopped accepting work before the start was ordered");
+    } else if (trackedRun.isTicketExpired(context.now())) {
+      releaseRun(worker, trackedRun, "ticket expired before the start was ordered");
+    } else {
+      sendStart(worker, trackedRun);
     }
   }
 
@@ -112,7 +115,9 @@
     }
     TrackedRun trackedRun = found.get();
     trackedRun.recordStartResult();
-    if (!result.isAnswer()) {
+    if (!result.isFromCall()) {
+      worker.withdrawOrder(trackedRun.lastOrderAt());
+    } else if (!result.isAnswer()) {
       worker.recordDoubtfulIncarnation(context.now());
     }
     switch (result) {
@@ -190,6 +195,7 @@
     // starting the gang again.
     Duration resendWithin = context.settings().gangWindow().dividedBy(2);
     return trackedRun.startsSent() < MAXIMUM_STARTS_SENT
+        && !trackedRun.isTicketExpired(context.now())
         && context.now().isBefore(trackedRun.placedAt().plus(resendWithin));
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEffect.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEffect.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.hyssopport.engine.advice.AdviceCall;
+import org.hyssopport.engine.advice.Ticket;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.worker.RunId;
 import org.hyssopport.engine.worker.WorkerDescription;
@@ -52,7 +53,8 @@
    * @param payload the input of the task
    * @param leaseUntil the end of the lease as a reading of the worker's clock in milliseconds
    * @param checkpoint the checkpoint to resume from, or an empty string
-   * @param ticket the ticket, if the queue requires advice
+   * @param ticket the ticket, if the queue requires advice; the order is not sent once it can't
+   *     arrive before the ticket expires
    */
   record Start(
       WorkerDescription worker,
@@ -60,7 +62,7 @@
       String payload,
       long leaseUntil,
       String checkpoint,
-      Optional<String> ticket)
+      Optional<Ticket> ticket)
       implements SchedulerEffect {}
 
   /**
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedRun.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedRun.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.Optional;
+import org.hyssopport.engine.advice.Ticket;
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.policy.Resources;
 
@@ -17,7 +18,7 @@
   private final Resources demand;
   private final Instant placedAt;
   private RunPhase phase;
-  private Optional<String> ticket = Optional.empty();
+  private Optional<Ticket> ticket = Optional.empty();
   private Optional<Instant> startConfirmedAt = Optional.empty();
   private Optional<Instant> stopConfirmedAt = Optional.empty();
   private int startsSent;
@@ -79,15 +80,20 @@
   }
 
   /** Returns the advice ticket that its start order carries, if one is needed. */
-  public Optional<String> ticket() {
+  public Optional<Ticket> ticket() {
     return ticket;
   }
 
   /** Sets the advice ticket that its start order carries. */
-  public void setTicket(Optional<String> newTicket) {
+  public void setTicket(Optional<Ticket> newTicket) {
     ticket = newTicket;
   }
 
+  /** Returns whether its start order would carry a ticket that has expired. */
+  public boolean isTicketExpired(Instant now) {
+    return ticket.filter(held -> !now.isBefore(held.expiresAt())).isPresent();
+  }
+
   /** Returns when the worker first confirmed the start, if it has. */
   public Optional<Instant> startConfirmedAt() {
     return startConfirmedAt;
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
@@ -129,6 +129,11 @@
     }
   }
 
+  /** Records that the order of an instant was not sent after all, so that no answer is due. */
+  public void withdrawOrder(Instant orderedAt) {
+    awaitingAnswerSince = awaitingAnswerSince.filter(since -> !since.equals(orderedAt));
+  }
+
   /** Records that the worker has answered an order or a poll, with whatever result. */
   public void recordAnswer() {
     awaitingAnswerSince = Optional.empty();
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
@@ -113,6 +113,11 @@
     orderSeconds.observe(seconds);
   }
 
+  /** Counts an order that was given up before the worker was called. */
+  void countOrderNotSent(String order, String result) {
+    orders.labelValues(order, result).inc();
+  }
+
   void recordStoreTime(double seconds) {
     storeSeconds.observe(seconds);
   }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OrderSender.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OrderSender.java
@@ -1,10 +1,13 @@
 package org.hyssopport.launcher.cell;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.hyssopport.engine.advice.Ticket;
 import org.hyssopport.engine.scheduler.OrderResult;
 import org.hyssopport.engine.scheduler.SchedulerEffect;
 import org.hyssopport.engine.scheduler.SchedulerEvent;
@@ -18,6 +21,9 @@
  */
 final class OrderSender {
 
+  /** The way to a worker in another region takes this long. */
+  private static final Duration ORDER_TRANSIT = Duration.ofMillis(20);
+
   private final MemberContext context;
   private final long term;
   private final BooleanSupplier termEnded;
@@ -43,7 +49,33 @@
   }
 
   void send(SchedulerEffect.Start start) {
-    submit(start.worker(), start.run(), true, () -> context.workerGateway().start(start, term));
+    submit(start.worker(), start.run(), true, () -> startInTime(start));
+  }
+
+  /**
+   * Sends a start order, unless its ticket would run out before it arrives: the worker would refuse
+   * it, at the cost of the link and of a slot for orders that can still succeed.
+   */
+  private WorkerGateway.OrderAnswer startInTime(SchedulerEffect.Start start) {
+    Instant arrivesAt = context.clock().instant().plus(ORDER_TRANSIT);
+    Optional<Ticket> expired =
+        start.ticket().filter(ticket -> !arrivesAt.isBefore(ticket.expiresAt()));
+    if (expired.isEmpty()) {
+      return context.workerGateway().start(start, term);
+    }
+    context
+        .log()
+        .write(
+            "start not sent: ticket expired",
+            start.run().task().toString(),
+            Map.of(
+                "run",
+                start.run().number(),
+                "worker",
+                start.worker().id(),
+                "millisTooLate",
+                Duration.between(expired.get().expiresAt(), arrivesAt).toMillis()));
+    return new WorkerGateway.OrderAnswer(OrderResult.TICKET_EXPIRED, Optional.empty());
   }
 
   void send(SchedulerEffect.Stop stop) {
@@ -76,12 +108,15 @@
     }
     long startNanos = System.nanoTime();
     WorkerGateway.OrderAnswer answer = order.send();
+    String kind = isStart ? "start" : "stop";
+    if (!answer.result().isFromCall()) {
+      context.metrics().countOrderNotSent(kind, answer.result().name());
+      report(worker, run, isStart, answer);
+      return;
+    }
     context
         .metrics()
-        .recordOrder(
-            isStart ? "start" : "stop",
-            answer.result().name(),
-            (System.nanoTime() - startNanos) / 1e9);
+        .recordOrder(kind, answer.result().name(), (System.nanoTime() - startNanos) / 1e9);
     if (answer.result() != OrderResult.DONE) {
       context
           .log()
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -272,7 +272,12 @@
     RunId runId = start.run();
     return workers
         .find(start.worker().id())
-        .start(runId, workers.runChecker().stepOf(runId), start.leaseUntil(), term, start.ticket());
+        .start(
+            runId,
+            workers.runChecker().stepOf(runId),
+            start.leaseUntil(),
+            term,
+            start.ticket().map(Ticket::text));
   }
 
   /** An order to a worker, ready to be carried out. */
