Authenticate callers on cells with organisations

Load: callers without a key, with several, with another scheme, with an unknown or a withdrawn key. Cause: no member read the Authorization header, so every call was served. Change: each member decides on its own, before it reads the body. CallerAuthentication holds the decision, AuthorizationHeader decodes the header. A refused call gets 401 with a reason that never holds the key, is counted by reason and logged with its job's id, at most 20 lines a second. Public routes need no key. 404 and the 503 of a member without configuration come first. Requests to the scheduler name their caller in place of only its organisation, since on a public route the queue counts. Without organisations nothing changes. Callers saw: 200 with any key or none; JobApiAuthenticationTests says for which calls.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerRequest.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerRequest.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
-import org.hyssopport.engine.organisation.OrganisationId;
+import org.hyssopport.engine.organisation.CallerIdentity;
 
 /**
  * A caller's request to the scheduler.
@@ -39,11 +39,12 @@
    * Cancels a job.
    *
    * @param job the id of the job
-   * @param organisation the organisation of the caller; empty if its caller needed no key
+   * @param caller who calls; empty on a cell without organisations, and in requests that a member
+   *     of an earlier version forwards
    */
-  record Cancel(JobId job, Optional<OrganisationId> organisation) implements CallerRequest {
+  record Cancel(JobId job, Optional<CallerIdentity> caller) implements CallerRequest {
 
-    /** Returns the request of a caller that needed no key. */
+    /** Returns the request of a caller on a cell without organisations. */
     public static Cancel withoutOrganisation(JobId job) {
       return new Cancel(job, Optional.empty());
     }
@@ -53,11 +54,12 @@
    * Asks for the state of a job.
    *
    * @param job the id of the job
-   * @param organisation the organisation of the caller; empty if its caller needed no key
+   * @param caller who calls; empty on a cell without organisations, and in requests that a member
+   *     of an earlier version forwards
    */
-  record Show(JobId job, Optional<OrganisationId> organisation) implements CallerRequest {
+  record Show(JobId job, Optional<CallerIdentity> caller) implements CallerRequest {
 
-    /** Returns the request of a caller that needed no key. */
+    /** Returns the request of a caller on a cell without organisations. */
     public static Show withoutOrganisation(JobId job) {
       return new Show(job, Optional.empty());
     }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
@@ -22,6 +22,11 @@
           "Answers to callers by kind of request and verdict.",
           "request",
           "verdict");
+  private final Counter unauthenticated =
+      registry.counter(
+          "hyssopport_cell_unauthenticated_calls",
+          "Calls refused because their callers are not authenticated, by reason.",
+          "reason");
   private final Counter decisions =
       registry.counter(
           "hyssopport_cell_decisions", "Decisions of the scheduler by kind.", "decision");
@@ -79,6 +84,11 @@
     answers.labelValues("Pending", known ? "STATE" : "UNAVAILABLE").inc();
   }
 
+  /** Counts a call whose caller is not authenticated. */
+  void countUnauthenticated(String reason) {
+    unauthenticated.labelValues(reason).inc();
+  }
+
   /** Counts a request that this member did not take as the scheduler. */
   void countNotTaken(NotTakenReason reason) {
     notTaken.labelValues(reason.name()).inc();
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -17,6 +17,7 @@
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.platform.JobRequestHandler;
 import org.hyssopport.platform.StoreFailure;
+import org.hyssopport.platform.UnauthenticatedCall;
 
 /**
  * Forwards the requests of callers to the scheduler, and answers them from the store if no
@@ -67,6 +68,7 @@
   private final SchedulerClient scheduler;
   private final JobStateCache jobStates;
   private final MemberAppends appends;
+  private final UnauthenticatedCallLog unauthenticatedCalls;
   private final long numbersBegin = wallClockNanos();
   private final AtomicLong lastRequestNumber = new AtomicLong(numbersBegin);
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -82,6 +84,7 @@
     this.scheduler = scheduler;
     this.jobStates = new JobStateCache(context);
     this.appends = new MemberAppends(context);
+    this.unauthenticatedCalls = new UnauthenticatedCallLog(context);
   }
 
   private static long wallClockNanos() {
@@ -122,6 +125,12 @@
     return configurationFollower.current();
   }
 
+  @Override
+  public void recordUnauthenticated(UnauthenticatedCall call) {
+    long version = configuration().map(CellConfiguration::version).orElse(0L);
+    unauthenticatedCalls.record(call, version);
+  }
+
   @Override
   public boolean ready() {
     return !leaving && configurationFollower.current().isPresent() && scheduler.hasRecentContact();
