Pass the configuration on between members

Load: a store that turns a third of the members away for 9 s, while it serves the others and the operator, who withdraws keys. Cause: each member got its configuration from the store alone, so the members that were turned away served withdrawn keys, and refused new ones, until the store answered them again. Change: on a cell with organisations, heartbeats state the version in force, in an optional field. Without store and scheduler it asks any member it knows. The answer is the operator's record, deflated and bounded; only a higher version replaces. Members of earlier versions ignore the field and drop the request. Cells without organisations state no version, and nothing changes for them.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -63,9 +63,13 @@
 
   private static final long LEAVING_CHECK_MILLIS = 50;
 
+  /** As often as members exchange heartbeats. */
+  private static final long CONFIGURATION_CHECK_MILLIS = 200;
+
   private final MemberContext context;
   private final ForwardingRequestHandler requestHandler;
   private final SchedulerElection election;
+  private final ConfigurationExchange configurationExchange;
   private final FramedLink peerLink;
   private final MessagePackCodec<MemberMessage.MemberEnvelope> codec =
       MessagePackCodec.of(MemberMessage.MemberEnvelope.class);
@@ -96,7 +100,12 @@
     election = new SchedulerElection(context, this, this::deliverAnswer);
     requestHandler = new ForwardingRequestHandler(context, configurationFollower, election);
     configurationFollower.setReadListener(election::recordStoreAvailability);
-    configurationFollower.setConfigurationListener(election::applyConfiguration);
+    configurationExchange = new ConfigurationExchange(context, configurationFollower, this);
+    configurationFollower.setConfigurationListener(
+        (configuration, source) -> {
+          context.metrics().recordConfiguration(configuration.version(), source.name());
+          election.applyConfiguration(configuration);
+        });
     election.setNewSchedulerListener(requestHandler::resendOpenRequests);
     election.setNotTakenListener(requestHandler::onNotTaken);
     peerLink =
@@ -104,6 +113,22 @@
             new InetSocketAddress(settings.ip(), settings.peerPort()),
             this::receiveFrame,
             fault -> context.log().write("peer link fault", Map.of("detail", fault)));
+    registerGauges();
+    Threads.start("configuration", configurationFollower);
+    Threads.start("membership", election::runMembership);
+    Threads.start("presence", election::runHeartbeats);
+    Threads.start("live-list", election::runLiveList);
+    Threads.start("configuration-requests", this::runConfigurationRequests);
+    ExecutorService callerExecutor =
+        Threads.bounded("callers", CALLER_THREADS, REQUEST_QUEUE_CAPACITY);
+    ExecutorService operatorExecutor =
+        Threads.bounded("operators", OPERATOR_THREADS, REQUEST_QUEUE_CAPACITY);
+    apiServer = openApiServer(callerExecutor, operatorExecutor);
+    registerExchangeGauge();
+    metricsServer = startMetricsServer(operatorExecutor);
+  }
+
+  private void registerGauges() {
     context
         .metrics()
         .gauge(
@@ -116,22 +141,15 @@
             "hyssopport_cell_active_jobs",
             "Jobs that have not ended; stated only by the scheduler, once it knows them.",
             election::activeJobs);
-    Threads.start("configuration", configurationFollower);
-    Threads.start("membership", election::runMembership);
-    Threads.start("presence", election::runHeartbeats);
-    Threads.start("live-list", election::runLiveList);
-    ExecutorService callerExecutor =
-        Threads.bounded("callers", CALLER_THREADS, REQUEST_QUEUE_CAPACITY);
-    ExecutorService operatorExecutor =
-        Threads.bounded("operators", OPERATOR_THREADS, REQUEST_QUEUE_CAPACITY);
-    apiServer = openApiServer(callerExecutor, operatorExecutor);
+  }
+
+  private void registerExchangeGauge() {
     context
         .metrics()
         .gauge(
             "hyssopport_cell_open_exchanges",
             "Exchanges with callers, from their dispatch until their answer is written.",
             () -> apiServer.openExchanges().values().stream().mapToInt(Integer::intValue).sum());
-    metricsServer = startMetricsServer(operatorExecutor);
   }
 
   /** Listens for callers; if that fails, releases the address for other members. */
@@ -228,15 +246,31 @@
   }
 
   private void dispatch(String sender, MemberMessage message) {
+    message
+        .configurationVersion()
+        .ifPresent(version -> configurationExchange.onOffer(sender, version));
     if (message instanceof MemberMessage.ForwardedAnswer answer) {
       requestHandler.onSchedulerAnswer(answer.number(), answer.answer());
     } else if (message instanceof MemberMessage.AdviceRequest adviceRequest) {
       queueAdviceRequest(sender, adviceRequest);
+    } else if (message instanceof MemberMessage.ConfigurationRequest
+        || message instanceof MemberMessage.ConfigurationCopy) {
+      configurationExchange.receive(sender, message);
     } else {
       election.receive(sender, message);
     }
   }
 
+  private void runConfigurationRequests() {
+    while (Threads.pause(CONFIGURATION_CHECK_MILLIS)) {
+      Threads.runRound(
+          "configuration-requests",
+          () ->
+              configurationExchange.askWithoutScheduler(
+                  election.memberAddresses(), election.schedulerSeenRecently()));
+    }
+  }
+
   /** Queues a request for advice; if too many wait, answers at once that there is no advice. */
   private void queueAdviceRequest(String sender, MemberMessage.AdviceRequest request) {
     try {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.hyssopport.launcher.MetricRegistry;
@@ -27,6 +28,12 @@
           "hyssopport_cell_unauthenticated_calls",
           "Calls refused because their callers are not authenticated, by reason.",
           "reason");
+  private final Counter configurations =
+      registry.counter(
+          "hyssopport_cell_configurations",
+          "Configurations that came into force, by where they were got from.",
+          "source");
+  private final AtomicLong configurationVersion = new AtomicLong();
   private final Counter decisions =
       registry.counter(
           "hyssopport_cell_decisions", "Decisions of the scheduler by kind.", "decision");
@@ -64,6 +71,19 @@
           "hyssopport_cell_store_seconds",
           "Time from the first append of a journal batch until the store confirms it.");
 
+  CellMetrics() {
+    registry.gauge(
+        "hyssopport_cell_configuration_version",
+        "Version of the configuration in force; 0 if there is none.",
+        configurationVersion::get);
+  }
+
+  /** Records that a configuration came into force. */
+  void recordConfiguration(long version, String source) {
+    configurationVersion.set(version);
+    configurations.labelValues(source).inc();
+  }
+
   /** Registers a gauge whose value is read at each scrape. */
   void gauge(String name, String help, LongSupplier value) {
     registry.gauge(name, help, value);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationFollower.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationFollower.java
@@ -1,10 +1,12 @@
 package org.hyssopport.launcher.cell;
 
 import io.vavr.control.Either;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.platform.ConfigurationDecoder;
@@ -31,9 +33,12 @@
   private final MetadataStore store;
   private final DecisionLog log;
   private volatile Optional<CellConfiguration> current = Optional.empty();
+  private volatile Optional<HeldRecord> record = Optional.empty();
   private boolean storeAvailable = true;
+  private volatile boolean storeReachable;
   private volatile Consumer<Either<StoreFailure, StorePage>> readListener = result -> {};
-  private volatile Consumer<CellConfiguration> configurationListener = configuration -> {};
+  private volatile BiConsumer<CellConfiguration, Source> configurationListener =
+      (configuration, source) -> {};
 
   ConfigurationFollower(MetadataStore store, DecisionLog log) {
     this.store = store;
@@ -44,13 +49,37 @@
     return current;
   }
 
+  /** Where a configuration was got from. */
+  enum Source {
+    STORE,
+    MEMBER
+  }
+
+  /**
+   * The value of a configuration's record, as the operator wrote it.
+   *
+   * @param version the version of the configuration
+   * @param value the value, which holds keys and must not be logged
+   */
+  record HeldRecord(long version, ByteBuffer value) {}
+
+  /** Returns the record of the configuration in force. */
+  Optional<HeldRecord> record() {
+    return record;
+  }
+
+  /** Returns whether the last read succeeded. */
+  boolean storeReachable() {
+    return storeReachable;
+  }
+
   /** Sets what receives the result of each read, which tells whether the store is available. */
   void setReadListener(Consumer<Either<StoreFailure, StorePage>> listener) {
     readListener = listener;
   }
 
-  /** Sets what receives each configuration that comes into force. */
-  void setConfigurationListener(Consumer<CellConfiguration> listener) {
+  /** Sets what receives each configuration that comes into force, and where it was got from. */
+  void setConfigurationListener(BiConsumer<CellConfiguration, Source> listener) {
     configurationListener = listener;
   }
 
@@ -87,6 +116,7 @@
 
   private void recordStoreAvailability(Either<StoreFailure, StorePage> page) {
     readListener.accept(page);
+    storeReachable = page.isRight();
     if (page.isRight() != storeAvailable) {
       storeAvailable = page.isRight();
       log.write(
@@ -105,25 +135,42 @@
       if (record.key().equals(ConfigurationDecoder.KEY) && !deletion) {
         Optional<CellConfiguration> configuration =
             record.value().flatMap(ConfigurationDecoder::decode);
+        configuration.ifPresent(
+            decoded -> applyIfNewer(decoded, record.value().get(), Source.STORE));
         if (configuration.isEmpty()) {
           log.writeUnreadable(
               "configuration",
               "configuration not decodable; skipped",
               Map.of("offset", record.offset()));
         }
-        configuration.ifPresent(this::applyIfNewer);
       }
     }
   }
 
-  private void applyIfNewer(CellConfiguration decoded) {
+  /**
+   * Applies the value of a configuration's record.
+   *
+   * @return whether it is a configuration newer than the one in force
+   */
+  boolean apply(byte[] value, Source source) {
+    return ConfigurationDecoder.decode(value)
+        .filter(decoded -> applyIfNewer(decoded, value, source))
+        .isPresent();
+  }
+
+  private synchronized boolean applyIfNewer(
+      CellConfiguration decoded, byte[] value, Source source) {
     boolean isNewer = current.map(inForce -> decoded.version() > inForce.version()).orElse(true);
     if (isNewer) {
+      record =
+          Optional.of(new HeldRecord(decoded.version(), ByteBuffer.wrap(value).asReadOnlyBuffer()));
       current = Optional.of(decoded);
       log.write(
           "configuration in force",
-          Map.of("version", decoded.version(), "routes", decoded.routes().size()));
-      configurationListener.accept(decoded);
+          Map.of(
+              "version", decoded.version(), "routes", decoded.routes().size(), "source", source));
+      configurationListener.accept(decoded, source);
     }
+    return isNewer;
   }
 }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -211,7 +211,8 @@
               term.get()
                   .pendingJobs()
                   .map(counts -> counts.toMessage(memberHeartbeat.sentAtMillis(), now)),
-              term.get().liveMembers()));
+              term.get().liveMembers(),
+              ConfigurationExchange.statedVersion(configuration)));
     } else if (message instanceof MemberMessage.MemberHeartbeat) {
       transport.send(sender, new MemberMessage.NotLeading(newestTerm));
     } else if (message instanceof MemberMessage.NotLeading notLeading) {
@@ -521,6 +522,11 @@
     notTakenListener = listener;
   }
 
+  /** Returns the members that the last scheduler listed. */
+  Set<String> memberAddresses() {
+    return memberAddresses;
+  }
+
   /**
    * Keeps the live list known while this member may become the scheduler; a term reads it itself.
    */
@@ -562,7 +568,8 @@
         context.settings().failureDomain(),
         leaving,
         betterSuited,
-        context.clock().instant().toEpochMilli());
+        context.clock().instant().toEpochMilli(),
+        ConfigurationExchange.statedVersion(configuration));
   }
 
   private void readSchedulerAddress() {
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,10 +29,17 @@
   @JsonSubTypes.Type(value = MemberMessage.ForwardedAnswer.class, name = "a"),
   @JsonSubTypes.Type(value = MemberMessage.RequestNotTaken.class, name = "r"),
   @JsonSubTypes.Type(value = MemberMessage.AdviceRequest.class, name = "v"),
-  @JsonSubTypes.Type(value = MemberMessage.AdviceAnswer.class, name = "w")
+  @JsonSubTypes.Type(value = MemberMessage.AdviceAnswer.class, name = "w"),
+  @JsonSubTypes.Type(value = MemberMessage.ConfigurationRequest.class, name = "c"),
+  @JsonSubTypes.Type(value = MemberMessage.ConfigurationCopy.class, name = "d")
 })
 public sealed interface MemberMessage {
 
+  /** Returns the version of the configuration in force at the sender, if the message states it. */
+  default Optional<Long> configurationVersion() {
+    return Optional.empty();
+  }
+
   /**
    * Reports that the sender, a member of the cell, is alive.
    *
@@ -41,10 +49,23 @@
    *     store
    * @param sentAtMillis when it was sent, in milliseconds of the sender's clock; the answer repeats
    *     it
+   * @param configurationVersion the version of the configuration in force at the sender; empty if
+   *     it has none, or if the version of the sender does not state it
    */
   record MemberHeartbeat(
-      String failureDomain, boolean leaving, boolean betterSuited, long sentAtMillis)
-      implements MemberMessage {}
+      String failureDomain,
+      boolean leaving,
+      boolean betterSuited,
+      long sentAtMillis,
+      Optional<Long> configurationVersion)
+      implements MemberMessage {
+
+    /** Creates a heartbeat that states no configuration. */
+    public MemberHeartbeat(
+        String failureDomain, boolean leaving, boolean betterSuited, long sentAtMillis) {
+      this(failureDomain, leaving, betterSuited, sentAtMillis, Optional.empty());
+    }
+  }
 
   /**
    * Reports that the sender is the scheduler, in answer to a heartbeat and when its term begins.
@@ -56,10 +77,23 @@
    *     yet, if the message answers no heartbeat, or if the version of the sender does not state it
    * @param members the addresses of all members that the scheduler considers live, those that are
    *     leaving included
+   * @param configurationVersion the version of the configuration in force at the sender; empty if
+   *     it has none, or if the version of the sender does not state it
    */
   record LeaderHeartbeat(
-      long term, boolean storeWell, Optional<PendingCount> pendingCount, Set<String> members)
-      implements MemberMessage {}
+      long term,
+      boolean storeWell,
+      Optional<PendingCount> pendingCount,
+      Set<String> members,
+      Optional<Long> configurationVersion)
+      implements MemberMessage {
+
+    /** Creates a heartbeat that states no configuration. */
+    public LeaderHeartbeat(
+        long term, boolean storeWell, Optional<PendingCount> pendingCount, Set<String> members) {
+      this(term, storeWell, pendingCount, members, Optional.empty());
+    }
+  }
 
   /**
    * How many jobs have not started, in the answer to a heartbeat.
@@ -139,6 +173,23 @@
   record AdviceAnswer(long term, long call, Optional<Map<String, String>> tickets, long validMillis)
       implements MemberMessage {}
 
+  /**
+   * Asks a member for the configuration if it holds a newer one than the sender. A receiver of an
+   * earlier version can't decode the message and drops it.
+   *
+   * @param heldVersion the version in force at the sender; -1 if it has none
+   */
+  record ConfigurationRequest(long heldVersion) implements MemberMessage {}
+
+  /**
+   * Passes a configuration on.
+   *
+   * @param version its version
+   * @param deflatedValue the value of its record in the store, as the operator wrote it, deflated;
+   *     it holds keys and must not be logged
+   */
+  record ConfigurationCopy(long version, ByteBuffer deflatedValue) implements MemberMessage {}
+
   /**
    * A message with the address of its sender.
    *
