--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -211,7 +211,8 @@
               term.get()
                   .pendingJobs()
                   .map(counts -> counts.toMessage(memberHeartbeat.sentAtMillis(), now)),
-              term.get().liveMembers()));
+              term.get().liveMembers(),
+              ConfigurationExchange.statedVersion(configuration)));
     } else if (message instanceof MemberMessage.MemberHeartbeat) {
       transport.send(sender, new MemberMessage.NotLeading(newestTerm));
     } else if (message instanceof MemberMessage.NotLeading notLeading) {
@@ -525,6 +526,11 @@
     notTakenListener = listener;
   }
 
+  /** Returns the members that the last scheduler listed. */
+  Set<String> memberAddresses() {
+    return memberAddresses;
+  }
+
   /**
    * Keeps the live list known while this member may become the scheduler; a term reads it itself.
    */
@@ -568,7 +574,8 @@
         leaving,
         mayLead && policy.rank() == SchedulerRank.SUITED,
         mayLead ? Optional.of(policy.rank().number()) : Optional.empty(),
-        context.clock().instant().toEpochMilli());
+        context.clock().instant().toEpochMilli(),
+        ConfigurationExchange.statedVersion(configuration));
   }
 
   private void readSchedulerAddress() {
