Hand over leadership from schedulers that can't keep up

Cause: leadership moves only if heartbeats or the store's answers are missing, and both came in time.

Change: a scheduler observes how long the oldest order not yet sent, event not yet handled and append in flight have waited (CongestionDetector, deadlines stored). Once orders or events were late for 2 s, it hands over to a member that ranks as well or better, not in the first 10 s of its term, nor within 60 s of another such hand-over in the cell, which NotLeading states in a new field. It leaves the next term to others for 3 s. A slow store is observed, but is no reason. Log lines "scheduler congested" and "scheduler keeps up again", gauges hyssopport_cell_oldest_{orders,events,appends}_millis.

Placing fewer starts where no such member exists is not done yet. CongestionDetectorTests replays the narrow link, and one that narrows.

StoreContact is cut out of SchedulerElection without a change. The hand-over test of ElectionLoopTests now lets the other member be known to the last scheduler: it timed out once at a load average of 35, since members are told of a hand-over only after the tick that follows their first heartbeat.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -116,6 +116,7 @@
             "hyssopport_cell_active_jobs",
             "Jobs that have not ended; stated only by the scheduler, once it knows them.",
             election::activeJobs);
+    registerBacklogGauges();
     Threads.start("configuration", configurationFollower);
     Threads.start("membership", election::runMembership);
     Threads.start("presence", election::runHeartbeats);
@@ -134,6 +135,17 @@
     metricsServer = startMetricsServer(operatorExecutor);
   }
 
+  private void registerBacklogGauges() {
+    for (CongestionDetector.Backlog backlog : CongestionDetector.Backlog.values()) {
+      context
+          .metrics()
+          .gaugeIfKnown(
+              "hyssopport_cell_oldest_" + backlog.name().toLowerCase(Locale.ROOT) + "_millis",
+              "How long the oldest element of this queue waits; stated only by the scheduler.",
+              () -> election.backlogMillis(backlog));
+    }
+  }
+
   /** Listens for callers; if that fails, releases the address for other members. */
   private JobApiServer openApiServer(Executor callerExecutor, Executor operatorExecutor)
       throws IOException {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
@@ -30,6 +30,15 @@
    */
   static final Duration MINIMUM_HAND_OVER_INTERVAL = Duration.ofSeconds(10);
 
+  /** Twice the time that a suited member takes to replace a scheduler. */
+  static final Duration HAND_OVER_CANDIDACY_DELAY = Duration.ofSeconds(3);
+
+  /**
+   * The least time between two hand-overs by schedulers of the cell that can't keep up. If the next
+   * one can't either, the load is too high for all, and each hand-over costs a second of it.
+   */
+  static final Duration MINIMUM_CONGESTION_HAND_OVER_INTERVAL = Duration.ofSeconds(60);
+
   /**
    * How long after the store's return a scheduler may take to report that it reaches the store: a
    * call that hangs is given up after 0.9 s, and the next heartbeat is answered within 0.3 s.
@@ -48,6 +57,8 @@
   private final SchedulerRank rank;
   private final Instant startedAt;
   private Instant earliestNextHandOver = Instant.MIN;
+  private Instant candidateAgainFrom = Instant.MIN;
+  private volatile Instant earliestNextCongestionHandOver = Instant.MIN;
 
   private ElectionPolicy(SchedulerRank rank, Instant startedAt) {
     this.rank = rank;
@@ -81,9 +92,12 @@
   boolean isCandidate(
       Instant now, Instant schedulerSeenAt, Instant storeRegainedAt, boolean leading) {
     Instant replaceableSince = latest(startedAt, schedulerSeenAt, storeRegainedAt);
-    return rank == SchedulerRank.SUITED
-        || leading
-        || !now.isBefore(replaceableSince.plus(rank.candidacyDelay()));
+    if (leading) {
+      return true;
+    }
+    return !now.isBefore(candidateAgainFrom)
+        && (rank == SchedulerRank.SUITED
+            || !now.isBefore(replaceableSince.plus(rank.candidacyDelay())));
   }
 
   private static Instant latest(Instant... instants) {
@@ -141,7 +155,51 @@
     /** It has not answered since this member started. */
     NOT_ANSWERED,
     /** It has answered since this member started, as a scheduler or as one that no longer leads. */
-    ANSWERED
+    ANSWERED;
+
+    static LastSchedulerContact of(boolean named, boolean answered) {
+      if (!named) {
+        return NONE;
+      }
+      return answered ? ANSWERED : NOT_ANSWERED;
+    }
+  }
+
+  /** Why a scheduler hands over. */
+  enum HandOverReason {
+    /** A better ranked member is available. */
+    BETTER_RANK("a better ranked member is available"),
+    /** It can't keep up, and a member that ranks as well might. */
+    CONGESTED("can't keep up with the load");
+
+    private final String text;
+
+    HandOverReason(String text) {
+      this.text = text;
+    }
+
+    /** Returns the reason as the log states it. */
+    String text() {
+      return text;
+    }
+  }
+
+  /**
+   * Returns why this member, as the scheduler, hands over now, or empty if it does not.
+   *
+   * @param now the current time by the local monotonic clock
+   * @param bestSuccessor the best rank among the other members that reach the store
+   * @param termBegunAt when the term of this member began
+   * @param congested whether its queues show that it can't keep up
+   */
+  Optional<HandOverReason> handOverReason(
+      Instant now, Optional<SchedulerRank> bestSuccessor, Instant termBegunAt, boolean congested) {
+    if (shouldHandOver(now, bestSuccessor)) {
+      return Optional.of(HandOverReason.BETTER_RANK);
+    }
+    return congested && shouldHandOverCongestion(now, bestSuccessor, termBegunAt)
+        ? Optional.of(HandOverReason.CONGESTED)
+        : Optional.empty();
   }
 
   /**
@@ -155,8 +213,32 @@
         && !now.isBefore(earliestNextHandOver);
   }
 
-  /** Records that leadership was handed over. */
-  void recordHandOver(Instant now) {
+  /**
+   * Returns whether this member, as a scheduler that can't keep up, hands over to a member that
+   * ranks as well or better now.
+   *
+   * @param now the current time by the local monotonic clock
+   * @param bestSuccessor the best rank among the other members that reach the store
+   * @param termBegunAt when the term of this member began
+   */
+  boolean shouldHandOverCongestion(
+      Instant now, Optional<SchedulerRank> bestSuccessor, Instant termBegunAt) {
+    return bestSuccessor.filter(other -> other.isAtLeast(rank)).isPresent()
+        && !now.isBefore(termBegunAt.plus(MINIMUM_HAND_OVER_INTERVAL))
+        && !now.isBefore(earliestNextCongestionHandOver);
+  }
+
+  /** Records that this member hands over leadership, and leaves the next term to others. */
+  void recordHandOver(Instant now, HandOverReason reason) {
+    if (reason == HandOverReason.CONGESTED) {
+      recordCongestionHandOver(now);
+    }
     earliestNextHandOver = now.plus(MINIMUM_HAND_OVER_INTERVAL);
+    candidateAgainFrom = now.plus(HAND_OVER_CANDIDACY_DELAY);
+  }
+
+  /** Records that a scheduler, this member or another one, handed over since it can't keep up. */
+  void recordCongestionHandOver(Instant now) {
+    earliestNextCongestionHandOver = now.plus(MINIMUM_CONGESTION_HAND_OVER_INTERVAL);
   }
 }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalWriter.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JournalWriter.java
@@ -1,6 +1,7 @@
 package org.hyssopport.launcher.cell;
 
 import io.vavr.control.Either;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +35,7 @@
   private final Consumer<String> onAppendRejected;
   private final BlockingQueue<List<JournalEntry>> batches = new ArrayBlockingQueue<>(2);
   private final AtomicLong nextUnreadOffset;
+  private volatile Optional<Instant> submittedAt = Optional.empty();
   private long sequence;
   private boolean storeAvailable = true;
 
@@ -84,12 +86,18 @@
 
   /** Queues a batch; the scheduler waits for its outcome before it submits the next one. */
   void submit(List<JournalEntry> batch) {
+    submittedAt = Optional.of(context.clock().instant());
     if (!batches.offer(batch)) {
       throw new IllegalStateException(
           "the queue of batches is full: earlier ones have not been appended yet");
     }
   }
 
+  /** Returns when the batch whose outcome is awaited was submitted, if there is one. */
+  Optional<Instant> awaitingSince() {
+    return submittedAt;
+  }
+
   /** Appends the submitted batches until the thread is interrupted. */
   void run() {
     try {
@@ -116,6 +124,7 @@
       partlyStored = true;
     }
     context.metrics().recordStoreTime((System.nanoTime() - startNanos) / 1e9);
+    submittedAt = Optional.empty();
     eventSink.accept(new SchedulerEvent.JournalBatchStored());
   }
 
@@ -168,6 +177,7 @@
             "journal batch not stored; returned to the scheduler",
             Map.of("detail", failure.detail()));
     TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+    submittedAt = Optional.empty();
     eventSink.accept(new SchedulerEvent.JournalBatchRefused());
   }
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OrderSender.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OrderSender.java
@@ -4,6 +4,8 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -29,6 +31,9 @@
   private final BooleanSupplier termEnded;
   private final Consumer<SchedulerEvent> eventSink;
 
+  /** The orders that wait for a thread, in their order. */
+  private final Queue<WaitingOrder> waiting = new ConcurrentLinkedQueue<>();
+
   /**
    * Creates the sender of a term.
    *
@@ -82,15 +87,42 @@
     submit(stop.worker(), stop.run(), false, () -> context.workerGateway().stop(stop, term));
   }
 
+  /** Returns since when the oldest order that has not been sent waits. */
+  Optional<Instant> oldestWaitingSince() {
+    return Optional.ofNullable(waiting.peek()).map(WaitingOrder::since);
+  }
+
+  /** An order that waits for a thread. Not a record: each one equals itself only. */
+  private static final class WaitingOrder {
+    private final Instant since;
+
+    private WaitingOrder(Instant since) {
+      this.since = since;
+    }
+
+    private Instant since() {
+      return since;
+    }
+  }
+
   /** A call that orders a worker to start or stop a run. */
   private interface Order {
     WorkerGateway.OrderAnswer send();
   }
 
   private void submit(WorkerDescription worker, RunId run, boolean isStart, Order order) {
+    WaitingOrder waitingOrder = new WaitingOrder(context.clock().instant());
+    waiting.add(waitingOrder);
     try {
-      context.orderExecutor().execute(() -> sendNow(worker, run, isStart, order));
+      context
+          .orderExecutor()
+          .execute(
+              () -> {
+                waiting.remove(waitingOrder);
+                sendNow(worker, run, isStart, order);
+              });
     } catch (RejectedExecutionException e) {
+      waiting.remove(waitingOrder);
       context
           .log()
           .write("order to a worker not sent", run.task().toString(), Map.of("reason", "overload"));
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -85,7 +85,6 @@
   private volatile Optional<String> newestTermLeader = Optional.empty();
   private volatile long newestEndedTerm;
   private volatile boolean lastSchedulerAnswered;
-  private volatile Instant storeAnsweredAt = Instant.MIN;
   private volatile Optional<PendingJobs> reportedPendingJobs = Optional.empty();
   private volatile Set<String> memberAddresses = Set.of();
   private volatile Optional<CellConfiguration> configuration = Optional.empty();
@@ -95,6 +94,7 @@
   private final LiveWorkerCache liveWorkers;
   private final NotTakenRequests notTakenRequests;
   private final Successors successors = new Successors();
+  private final StoreContact storeContact;
 
   /** Orders the announcement of a term and its hand-over, also if the member leaves meanwhile. */
   private final Object leadershipLock = new Object();
@@ -102,8 +102,6 @@
   private volatile boolean leaving;
   private boolean joined;
   private long generation;
-  private volatile boolean storeAvailable = true;
-  private volatile Instant storeRegainedAt = Instant.MIN;
 
   SchedulerElection(
       MemberContext context,
@@ -115,6 +113,7 @@
     this.selfAddress = context.settings().peerAddress();
     this.startedAt = context.clock().instant().truncatedTo(ChronoUnit.MILLIS);
     this.notLeadingSince = startedAt;
+    this.storeContact = new StoreContact(context);
     this.notTakenRequests = new NotTakenRequests(context);
     this.liveWorkers = new LiveWorkerCache(context.store(), context.log(), context.clock());
     this.policy = ElectionPolicy.of(SchedulerRank.of(context.settings()), startedAt);
@@ -164,7 +163,7 @@
   public boolean hasRecentContact() {
     return activeTerm().isPresent()
         || schedulerSeenWithin(READINESS_TIMEOUT)
-        || context.clock().instant().isBefore(storeAnsweredAt.plus(READINESS_TIMEOUT));
+        || storeContact.answeredWithin(READINESS_TIMEOUT);
   }
 
   @Override
@@ -185,7 +184,7 @@
 
   @Override
   public boolean storeAvailable() {
-    return storeAvailable;
+    return storeContact.available();
   }
 
   private boolean schedulerSeenWithin(Duration span) {
@@ -213,8 +212,11 @@
                   .map(counts -> counts.toMessage(memberHeartbeat.sentAtMillis(), now)),
               term.get().liveMembers()));
     } else if (message instanceof MemberMessage.MemberHeartbeat) {
-      transport.send(sender, new MemberMessage.NotLeading(newestTerm));
+      transport.send(sender, new MemberMessage.NotLeading(newestTerm, false));
     } else if (message instanceof MemberMessage.NotLeading notLeading) {
+      if (notLeading.congested()) {
+        policy.recordCongestionHandOver(context.clock().instant());
+      }
       onNotLeading(sender, notLeading.term());
     } else if (message instanceof MemberMessage.ForwardedRequest forwarded) {
       receiveRequest(sender, forwarded);
@@ -308,12 +310,13 @@
   }
 
   private ElectionPolicy.LastSchedulerContact lastContact() {
-    if (schedulerAddress.isEmpty()) {
-      return ElectionPolicy.LastSchedulerContact.NONE;
-    }
-    return lastSchedulerAnswered
-        ? ElectionPolicy.LastSchedulerContact.ANSWERED
-        : ElectionPolicy.LastSchedulerContact.NOT_ANSWERED;
+    return ElectionPolicy.LastSchedulerContact.of(
+        schedulerAddress.isPresent(), lastSchedulerAnswered);
+  }
+
+  /** Returns how long a queue of this member's term is behind, if it is the scheduler. */
+  Optional<Integer> backlogMillis(CongestionDetector.Backlog backlog) {
+    return activeTerm().flatMap(term -> term.backlogs().ageMillis(backlog));
   }
 
   /** Returns the number of active jobs if this member is the scheduler and knows it. */
@@ -329,7 +332,8 @@
     Threads.runRound("membership", this::findScheduler);
     while (!leaving) {
       Threads.runRound("membership", this::keepMembership);
-      Duration interval = ElectionPolicy.joinInterval(schedulerSeenRecently(), storeAvailable);
+      Duration interval =
+          ElectionPolicy.joinInterval(schedulerSeenRecently(), storeContact.available());
       if (!Threads.pause(interval.toMillis())) {
         return;
       }
@@ -352,26 +356,31 @@
 
   private boolean isCandidate() {
     return policy.isCandidate(
-        context.clock().instant(), schedulerSeenAt, storeRegainedAt, activeTerm().isPresent());
+        context.clock().instant(),
+        schedulerSeenAt,
+        storeContact.regainedAt(),
+        activeTerm().isPresent());
   }
 
-  /** Hands over leadership if a better ranked member sends heartbeats. */
+  /** Hands over leadership if the policy has a reason to. */
   private void handOverIfDue() {
     Instant now = context.clock().instant();
-    Optional<SchedulerTerm> term = activeTerm();
-    Optional<SchedulerRank> bestSuccessor = successors.bestRank(now);
-    if (term.isPresent() && policy.shouldHandOver(now, bestSuccessor)) {
-      policy.recordHandOver(now);
-      // Delays the next candidacy of this member, so that the other one can take over.
-      schedulerSeenAt = now;
-      handOver(
-          term.get(),
-          "a better ranked member is available: "
-              + bestSuccessor.orElseThrow()
-              + ", not "
-              + policy.rank());
-      leaveGroup();
-    }
+    Optional<SchedulerRank> best = successors.bestRank(now);
+    activeTerm()
+        .ifPresent(
+            term ->
+                policy
+                    .handOverReason(now, best, term.begunAt(), term.backlogs().callForHandOver())
+                    .ifPresent(reason -> handOverToOther(term, now, reason)));
+  }
+
+  private void handOverToOther(
+      SchedulerTerm term, Instant now, ElectionPolicy.HandOverReason reason) {
+    policy.recordHandOver(now, reason);
+    // Delays the next candidacy of this member, so that the other one can take over.
+    schedulerSeenAt = now;
+    handOver(term, reason.text(), reason == ElectionPolicy.HandOverReason.CONGESTED);
+    leaveGroup();
   }
 
   private void leaveGroup() {
@@ -428,29 +437,12 @@
     ElectionPolicy.SchedulerContact contact =
         new ElectionPolicy.SchedulerContact(
             schedulerSeenAt, schedulerLeads, schedulerReachedStore, lastContact());
-    return policy.mayBeginTerm(context.clock().instant(), contact, storeRegainedAt);
+    return policy.mayBeginTerm(context.clock().instant(), contact, storeContact.regainedAt());
   }
 
   /** Records whether the store has answered a call of this member. */
-  synchronized void recordStoreAvailability(Either<StoreFailure, ?> result) {
-    if (result.isRight()) {
-      storeAnsweredAt = context.clock().instant();
-    }
-    if (result.isRight() != storeAvailable) {
-      storeAvailable = result.isRight();
-      if (storeAvailable) {
-        storeRegainedAt = storeAnsweredAt;
-      }
-      context
-          .log()
-          .write(
-              storeAvailable ? "dependency regained" : "dependency lost",
-              Map.of(
-                  "dependency",
-                  "store",
-                  "detail",
-                  result.isLeft() ? result.getLeft().detail() : ""));
-    }
+  void recordStoreAvailability(Either<StoreFailure, ?> result) {
+    storeContact.record(result);
   }
 
   private void beginTerm() {
@@ -469,7 +461,7 @@
       schedulerLeads = false;
       announceTerm(term);
       if (leaving) {
-        handOver(term, LEAVING);
+        handOver(term, LEAVING, false);
       }
     }
     newSchedulerListener.run();
@@ -502,12 +494,12 @@
    * Ends this member's term and tells the other members, so that they send it no more requests and
    * the owner of the partition begins the next term at once.
    */
-  private void handOver(SchedulerTerm term, String reason) {
+  private void handOver(SchedulerTerm term, String reason, boolean congested) {
     term.end(reason);
     notLeadingSince = context.clock().instant();
     for (String member : term.liveMembers()) {
       if (!member.equals(selfAddress)) {
-        transport.send(member, new MemberMessage.NotLeading(term.term()));
+        transport.send(member, new MemberMessage.NotLeading(term.term(), congested));
       }
     }
   }
@@ -562,7 +554,7 @@
   }
 
   private MemberMessage.MemberHeartbeat heartbeat() {
-    boolean mayLead = storeAvailable && !leaving;
+    boolean mayLead = storeContact.available() && !leaving;
     return new MemberMessage.MemberHeartbeat(
         context.settings().failureDomain(),
         leaving,
@@ -590,7 +582,7 @@
     leaving = true;
     sendHeartbeat();
     synchronized (leadershipLock) {
-      activeTerm().ifPresent(term -> handOver(term, LEAVING));
+      activeTerm().ifPresent(term -> handOver(term, LEAVING, false));
     }
     leaveGroup();
   }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -28,6 +29,7 @@
 import org.hyssopport.engine.scheduler.SchedulerEvent;
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.hyssopport.launcher.BoundedQueue;
+import org.hyssopport.launcher.cell.CongestionDetector.Backlog;
 import org.hyssopport.platform.StoreFailure;
 import org.hyssopport.platform.StorePage;
 import org.hyssopport.platform.StoreWrite;
@@ -77,12 +79,14 @@
   private final MemberTransport transport;
   private final BiConsumer<Long, CallerAnswer> localAnswerSink;
   private final CellScheduler scheduler;
-  private final BoundedQueue<SchedulerEvent> eventQueue = new BoundedQueue<>(EVENT_QUEUE_CAPACITY);
+  private final BoundedQueue<QueuedEvent> eventQueue = new BoundedQueue<>(EVENT_QUEUE_CAPACITY);
   private final Object requestLock = new Object();
   private final AtomicLong nextUnreadOffset = new AtomicLong();
   private final JournalWriter journalWriter;
   private final OrderSender orderSender;
   private final LiveWorkerCache liveWorkers;
+  private final SchedulerBacklogs backlogs;
+  private final Instant begunAt;
   private final Map<String, Instant> memberLastSeen = new ConcurrentHashMap<>();
   private final Set<String> leavingMembers = ConcurrentHashMap.newKeySet();
   private final List<Thread> threads = new CopyOnWriteArrayList<>();
@@ -107,6 +111,9 @@
   /** The incarnation of each worker in the live list; a new ticket is for this incarnation. */
   private volatile Map<WorkerId, Long> incarnations = Map.of();
 
+  /** An event, and when it was queued. */
+  private record QueuedEvent(SchedulerEvent event, Instant queuedAt) {}
+
   private SchedulerTerm(
       MemberContext context,
       long term,
@@ -127,6 +134,8 @@
     this.orderSender = new OrderSender(context, term, this::ended, this::enqueue);
     this.liveWorkers = liveWorkers;
     this.storeAnsweredAt = context.clock().instant();
+    this.begunAt = storeAnsweredAt;
+    this.backlogs = new SchedulerBacklogs(context, term);
   }
 
   /**
@@ -184,12 +193,12 @@
     incarnations = liveWorkers.incarnations();
     context.log().write("term begun", Map.of("term", term, "journal", entries.get().nextOffset()));
     configuration.ifPresent(this::applyConfiguration);
-    eventQueue.put(
+    enqueue(
         new SchedulerEvent.Recovered(
             JournalCodec.decodeAll(entries.get().records(), context.log()),
             liveWorkers.workers(),
             liveWorkers.lapsed()));
-    eventQueue.put(new SchedulerEvent.JournalRead(sentAt));
+    enqueue(new SchedulerEvent.JournalRead(sentAt));
     startThread("scheduler", this::runUntilEnded);
     startThread("journal-writer", journalWriter::run);
     startThread("journal-follower", this::followJournal);
@@ -223,6 +232,16 @@
     return ended;
   }
 
+  /** Returns when the term began, by the local monotonic clock. */
+  Instant begunAt() {
+    return begunAt;
+  }
+
+  /** Returns what is known of the term's queues. */
+  SchedulerBacklogs backlogs() {
+    return backlogs;
+  }
+
   /** Returns whether the store has answered within the given time. */
   boolean storeAnsweredWithin(Duration span) {
     return context.clock().instant().isBefore(storeAnsweredAt.plus(span));
@@ -260,7 +279,11 @@
       if (ended || closedToRequests) {
         return Optional.of(NotTakenReason.NOT_LEADING);
       }
-      boolean queued = eventQueue.offer(new SchedulerEvent.CallerRequestReceived(caller, request));
+      boolean queued =
+          eventQueue.offer(
+              new QueuedEvent(
+                  new SchedulerEvent.CallerRequestReceived(caller, request),
+                  context.clock().instant()));
       return queued ? Optional.empty() : Optional.of(NotTakenReason.QUEUE_FULL);
     }
   }
@@ -340,7 +363,7 @@
 
   private void enqueue(SchedulerEvent event) {
     if (!ended) {
-      eventQueue.put(event);
+      eventQueue.put(new QueuedEvent(event, context.clock().instant()));
     }
   }
 
@@ -357,23 +380,33 @@
     while (!ended) {
       Instant due = scheduler.nextDecisionAt().filter(nextTick::isAfter).orElse(nextTick);
       long wait = Duration.between(context.clock().instant(), due).toNanos();
-      Optional<SchedulerEvent> event = eventQueue.poll(Math.max(1, wait));
+      Optional<QueuedEvent> event = eventQueue.poll(Math.max(1, wait));
+      Optional<Instant> oldestQueuedAt = event.map(QueuedEvent::queuedAt);
       int handled = 0;
       while (event.isPresent() && handled < MAXIMUM_EVENTS_PER_DECISION) {
-        handle(event.get());
+        handle(event.get().event());
         handled++;
         event = eventQueue.poll();
       }
       // The last poll may have removed one event beyond the limit.
-      event.ifPresent(this::handle);
+      event.map(QueuedEvent::event).ifPresent(this::handle);
       if (!context.clock().instant().isBefore(nextTick)) {
         nextTick = context.clock().instant().plus(TICK_INTERVAL);
+        observeBacklogs(oldestQueuedAt);
         tick();
       }
       execute(scheduler.decide(context.clock().instant(), Instant.now()));
     }
   }
 
+  private void observeBacklogs(Optional<Instant> oldestEventQueuedAt) {
+    Map<Backlog, Instant> oldestSince = new EnumMap<>(Backlog.class);
+    oldestEventQueuedAt.ifPresent(at -> oldestSince.put(Backlog.EVENTS, at));
+    orderSender.oldestWaitingSince().ifPresent(at -> oldestSince.put(Backlog.ORDERS, at));
+    journalWriter.awaitingSince().ifPresent(at -> oldestSince.put(Backlog.APPENDS, at));
+    backlogs.observe(oldestSince);
+  }
+
   private void handle(SchedulerEvent event) {
     if (event instanceof SchedulerEvent.CallerRequestReceived received) {
       if (ended) {
@@ -393,9 +426,9 @@
     synchronized (requestLock) {
       closedToRequests = true;
     }
-    Optional<SchedulerEvent> event = eventQueue.poll();
+    Optional<QueuedEvent> event = eventQueue.poll();
     while (event.isPresent()) {
-      if (event.get() instanceof SchedulerEvent.CallerRequestReceived received) {
+      if (event.get().event() instanceof SchedulerEvent.CallerRequestReceived received) {
         returnRequest(received);
       }
       event = eventQueue.poll();
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionLoopTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionLoopTests.java
@@ -142,7 +142,7 @@
     termAppendReleased.countDown();
     membership.join();
     List<MemberMessage> sent = List.copyOf(messages);
-    assertEquals(new MemberMessage.NotLeading(1), sent.get(sent.size() - 1));
+    assertEquals(new MemberMessage.NotLeading(1, false), sent.get(sent.size() - 1));
     assertEquals(Optional.empty(), election.activeJobs());
     assertEquals("leave", List.copyOf(groupCalls).get(groupCalls.size() - 1));
   }
@@ -175,15 +175,18 @@
     AtomicReference<Instant> now = new AtomicReference<>(Instant.parse("2026-01-01T00:00:00Z"));
     election = createElection(now::get, 0.9, 7);
     termAppendReleased.countDown();
+    election.receive(
+        OTHER_MEMBER,
+        new MemberMessage.LeaderHeartbeat(1, false, Optional.empty(), Set.of(OTHER_MEMBER)));
     now.updateAndGet(start -> start.plus(SchedulerRank.NARROW_LINK.candidacyDelay()));
     Threads.start("membership", election::runMembership);
-    while (election.trySend(1, SHOW).isEmpty()) {
+    while (election.activeJobs().isEmpty()) {
       assertTrue(Threads.pause(10));
     }
     election.receive(
         OTHER_MEMBER, new MemberMessage.MemberHeartbeat("ourthe", false, true, Optional.of(0), 1));
     MemberMessage message = messages.take();
-    while (!message.equals(new MemberMessage.NotLeading(1))) {
+    while (!message.equals(new MemberMessage.NotLeading(1, false))) {
       message = messages.take();
     }
     while (!groupCalls.take().equals("leave")) {
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ElectionPolicyTests.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.hyssopport.launcher.cell.ElectionPolicy.HandOverReason;
 import org.hyssopport.launcher.cell.ElectionPolicy.LastSchedulerContact;
 import org.hyssopport.launcher.cell.ElectionPolicy.SchedulerContact;
 import org.junit.jupiter.api.Test;
@@ -108,7 +109,7 @@
   void smallMembersHandOverOnceAndThenKeepLeadershipForSomeTime() {
     ElectionPolicy policy = policyOf(0.36);
     assertTrue(policy.shouldHandOver(START, SUITED_SUCCESSOR));
-    policy.recordHandOver(START);
+    policy.recordHandOver(START, HandOverReason.BETTER_RANK);
     assertFalse(policy.shouldHandOver(START.plusSeconds(9), SUITED_SUCCESSOR));
     assertTrue(policy.shouldHandOver(START.plusSeconds(10), SUITED_SUCCESSOR));
   }
@@ -174,4 +175,40 @@
         Duration.ofMillis(expectedMillis),
         ElectionPolicy.joinInterval(schedulerKnown, storeAvailable));
   }
+
+  // A scheduler whose processor was 8 times slower for half of a day went on leading.
+  @ParameterizedTest
+  @CsvSource({
+    "SUITED, SUITED, 10000, true",
+    "SUITED, SUITED, 9999, false",
+    "SUITED, NARROW_LINK, 10000, false",
+    "NARROW_LINK, NARROW_LINK, 10000, true",
+    "SUITED,, 10000, false"
+  })
+  void congestedSchedulersHandOverToMembersThatRankAsWell(
+      SchedulerRank rank, SchedulerRank bestSuccessor, long termMillis, boolean expected) {
+    ElectionPolicy policy = ElectionPolicy.of(rank, START);
+    assertEquals(
+        expected,
+        policy.shouldHandOverCongestion(
+            START.plusMillis(termMillis), Optional.ofNullable(bestSuccessor), START));
+  }
+
+  // Under a load that is too high for all, leadership would circle.
+  @Test
+  void congestionIsHandedOverOnceInSomeTime() {
+    ElectionPolicy policy = policyOf(0.75);
+    Instant otherHandedOverAt = START.plusSeconds(20);
+    policy.recordCongestionHandOver(otherHandedOverAt);
+    assertFalse(policy.shouldHandOverCongestion(START.plusSeconds(79), SUITED_SUCCESSOR, START));
+    assertTrue(policy.shouldHandOverCongestion(START.plusSeconds(80), SUITED_SUCCESSOR, START));
+  }
+
+  @Test
+  void membersThatHandedOverLeaveTheNextTermToOthers() {
+    ElectionPolicy policy = policyOf(0.75);
+    policy.recordHandOver(START, HandOverReason.BETTER_RANK);
+    assertFalse(policy.isCandidate(START.plusMillis(2999), START, Instant.MIN, false));
+    assertTrue(policy.isCandidate(START.plusMillis(3000), START, Instant.MIN, false));
+  }
 }
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/SchedulerElectionTests.java
@@ -155,7 +155,7 @@
     void areNotSentToMembersThatNoLongerLead() {
       receiveHeartbeat(1, Optional.empty());
       assertTrue(isForwarded());
-      election.receive(SCHEDULER, new MemberMessage.NotLeading(1));
+      election.receive(SCHEDULER, new MemberMessage.NotLeading(1, false));
       assertFalse(isForwarded());
       assertFalse(election.schedulerSeenRecently());
     }
@@ -163,7 +163,7 @@
     @Test
     void areNotSentToMembersWhoseHeartbeatsOvertakeTheirHandOver() {
       receiveHeartbeat(1, Optional.empty());
-      election.receive(SCHEDULER, new MemberMessage.NotLeading(1));
+      election.receive(SCHEDULER, new MemberMessage.NotLeading(1, false));
       receiveHeartbeat(1, Optional.empty());
       assertFalse(isForwarded());
     }
@@ -171,7 +171,7 @@
     @Test
     void areSentToTheNextTermOfMembersThatHandedOver() {
       receiveHeartbeat(1, Optional.empty());
-      election.receive(SCHEDULER, new MemberMessage.NotLeading(1));
+      election.receive(SCHEDULER, new MemberMessage.NotLeading(1, false));
       receiveHeartbeat(2, Optional.empty());
       assertTrue(isForwarded());
     }
--- a/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
+++ b/hyssopport-protocol/src/main/java/org/hyssopport/protocol/MemberMessage.java
@@ -82,8 +82,10 @@
    * leadership.
    *
    * @param term the newest term that the sender knows
+   * @param congested whether the sender hands over because it can't keep up with the load; false if
+   *     the version of the sender does not state it
    */
-  record NotLeading(long term) implements MemberMessage {}
+  record NotLeading(long term, boolean congested) implements MemberMessage {}
 
   /**
    * Forwards a caller's request to the scheduler.
--- a/hyssopport-protocol/src/test/java/org/hyssopport/protocol/MemberMessageTests.java
+++ b/hyssopport-protocol/src/test/java/org/hyssopport/protocol/MemberMessageTests.java
@@ -55,4 +55,14 @@
         new MemberMessage.MemberHeartbeat("a", false, true, Optional.empty(), 7),
         MessagePackCodec.of(MemberMessage.MemberEnvelope.class).decode(payload).get().message());
   }
+
+  @Test
+  void handOversOfEarlierVersionsStateNoCongestion() {
+    Map<String, Object> handOver = Map.of("t", "n", "term", 7);
+    byte[] payload =
+        MessagePackCodec.of(Map.class).encode(Map.of("sender", "a:1", "message", handOver));
+    assertEquals(
+        new MemberMessage.NotLeading(7, false),
+        MessagePackCodec.of(MemberMessage.MemberEnvelope.class).decode(payload).get().message());
+  }
 }
