--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -114,6 +114,7 @@
             this::receiveFrame,
             fault -> context.log().write("peer link fault", Map.of("detail", fault)));
     registerGauges();
+    registerBacklogGauges();
     Threads.start("configuration", configurationFollower);
     Threads.start("membership", election::runMembership);
     Threads.start("presence", election::runHeartbeats);
@@ -152,6 +153,17 @@
             () -> apiServer.openExchanges().values().stream().mapToInt(Integer::intValue).sum());
   }
 
+  private void registerBacklogGauges() {
+    for (CongestionDetector.Backlog backlog : CongestionDetector.Backlog.values()) {
+      context
+          .metrics()
+          .gaugeIfKnown(
+              "hyssopport_cell_oldest_" + backlog.name().toLowerCase(Locale.ROOT) + "_millis",
+              "How long the oldest element of this queue waits; stated only by the scheduler.",
+              () -> election.backlogMillis(backlog));
+    }
+  }
+
   /** Listens for callers; if that fails, releases the address for other members. */
   private JobApiServer openApiServer(Executor callerExecutor, Executor operatorExecutor)
       throws IOException {
