Hold back starts that would take an organisation over its limit

Load: an organisation that has more to run than its limit allows. Failure: a take-over while workers can't be read, cancelled jobs whose runs go on, limits lowered below what runs.

Cause: the configuration states limits and nothing counted what an organisation has running.

Change: the scheduler counts it (engine.quota.UsageLedger, told of each run that is added to or removed from a tracked worker), and a placement pass permits as many tasks of a step as the limit leaves, a gang as a whole. Stored assignments count until their workers report or the leases are over. The simulated world has organisations, and checks what really runs against the limits that may be in force.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Job.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Job.java
@@ -187,12 +187,17 @@
     endedAt = Optional.of(now);
   }
 
-  /** Returns the progress to store; that of an ended job holds no tasks. */
+  /**
+   * Returns the progress to store. That of an ended job holds no tasks but, if an organisation
+   * submitted it, those that may still run: they count against the organisation's limit.
+   */
   public JobProgress progress() {
     List<TaskProgress> tasks = new ArrayList<>();
-    if (!isEnded()) {
+    if (!isEnded() || definition.organisation().isPresent()) {
       for (Step step : steps()) {
-        step.tasks().forEach(task -> task.progress().ifPresent(tasks::add));
+        step.tasks().stream()
+            .filter(task -> !isEnded() || task.worker().isPresent())
+            .forEach(task -> task.progress().ifPresent(tasks::add));
       }
     }
     return new JobProgress(id(), state, tasks);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerAnswer.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerAnswer.java
@@ -23,6 +23,11 @@
     REJECTED,
     /** The job is larger than the journal can hold: it is not stored, and a retry is of no use. */
     TOO_LARGE,
+    /**
+     * A task or gang of the job is larger than what its organisation may have running at all: it is
+     * not stored, and a retry is of no use while the limit stands.
+     */
+    EXCEEDS_LIMIT,
     /** Nothing was done, because a component that the request needs could not be reached. */
     UNAVAILABLE,
     /** It is not known whether the request took effect. */
@@ -37,7 +42,8 @@
     /** Returns whether the verdict can be the answer to a request of this kind. */
     public boolean answers(CallerRequest request) {
       return switch (this) {
-        case ACCEPTED, REJECTED, TOO_LARGE -> request instanceof CallerRequest.Submit;
+        case ACCEPTED, REJECTED, TOO_LARGE, EXCEEDS_LIMIT ->
+            request instanceof CallerRequest.Submit;
         case STATE -> request instanceof CallerRequest.Show;
         case CANCELLED -> request instanceof CallerRequest.Cancel;
         case UNKNOWN_JOB -> !(request instanceof CallerRequest.Submit);
@@ -47,7 +53,7 @@
 
     /** Returns whether the verdict says that the request had no effect. */
     public boolean isRefusal() {
-      return this == REJECTED || this == TOO_LARGE || this == UNAVAILABLE;
+      return this == REJECTED || this == TOO_LARGE || this == EXCEEDS_LIMIT || this == UNAVAILABLE;
     }
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -18,7 +18,10 @@
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.organisation.Organisation;
 import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.quota.OrganisationLimits;
+import org.hyssopport.engine.quota.UsageLedger;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerDescription;
@@ -48,7 +51,9 @@
 
   private final SchedulerContext context;
   private final JobRegistry jobs = new JobRegistry();
-  private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry();
+  private final UsageLedger usage = UsageLedger.empty();
+  private final OrganisationLimits limits = OrganisationLimits.withoutConfiguration(usage);
+  private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry(usage);
   private final JournalQueue journal = new JournalQueue();
   private final AdviceDispatcher adviceDispatcher = AdviceDispatcher.create();
   private final JournalRecovery journalRecovery;
@@ -85,10 +90,10 @@
     context = new SchedulerContext(settings);
     unknownJobCancellations = new UnknownJobCancellations(settings.retention());
     journalRecovery = new JournalRecovery(context, jobs, workers);
-    retention = new JobRetention(context, jobs, journal);
-    runManager = new RunManager(context, jobs, workers, journal);
+    retention = new JobRetention(context, jobs, journal, usage);
+    runManager = new RunManager(context, jobs, workers, journal, limits);
     incarnations = new WorkerIncarnations(context, jobs, workers, runManager);
-    placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher);
+    placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher, limits);
     poller = new WorkerPoller(context, workers, runManager, incarnations);
   }
 
@@ -184,6 +189,7 @@
       adviceDispatcher.setMembers(changed.members());
     } else if (event instanceof SchedulerEvent.ConfigurationChanged changed) {
       context.applyConfiguration(changed.configuration());
+      context.configuration().ifPresent(limits::applyConfiguration);
     } else if (event instanceof SchedulerEvent.Ticked) {
       tick();
     } else {
@@ -306,6 +312,11 @@
       return;
     }
     if (found.isEmpty()) {
+      Optional<Organisation> exceeded = limits.exceededByAnyStep(definition);
+      if (exceeded.isPresent()) {
+        rejectBeyondLimit(caller, definition, exceeded.get());
+        return;
+      }
       accept(definition);
     }
     Job job = jobs.find(definition.id()).orElseThrow();
@@ -316,6 +327,19 @@
     }
   }
 
+  private void rejectBeyondLimit(
+      CallerRequestId caller, JobDefinition definition, Organisation organisation) {
+    context.logDecision(
+        "rejected",
+        definition.id(),
+        Map.of(
+            "reason", "a task or gang is larger than the limit of its organisation",
+            "organisation", organisation.id(),
+            "limit", organisation.limit(),
+            "version", limits.configurationVersion().orElse(0L)));
+    reply(caller, CallerAnswer.of(Verdict.EXCEEDS_LIMIT));
+  }
+
   private void accept(JobDefinition definition) {
     Job job = Job.accepted(definition, context.now());
     jobs.add(job);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobRegistry.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobRegistry.java
@@ -78,6 +78,11 @@
     }
   }
 
+  /** Returns the jobs whose definitions are known, with those that have ended. */
+  Collection<Job> known() {
+    return jobs.values();
+  }
+
   Collection<Job> active() {
     return active.values();
   }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobRetention.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobRetention.java
@@ -3,8 +3,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
 import org.hyssopport.engine.job.Job;
+import org.hyssopport.engine.quota.UsageLedger;
 
 /**
  * Reduces ended jobs to their final states, and forgets them after the retention time.
@@ -27,20 +31,29 @@
   private final SchedulerContext context;
   private final JobRegistry jobs;
   private final JournalQueue journal;
+  private final UsageLedger usage;
 
   /** The ended jobs whose definitions are in the journal, in the order of their ends. */
   private final Deque<Job> inJournal = new ArrayDeque<>();
 
+  /**
+   * The ended jobs whose runs may go on, as on a worker that can't be reached. The next scheduler
+   * has to count them for their organisation, so that their definitions are kept in the journal.
+   */
+  private final List<Job> stillRunning = new ArrayList<>();
+
   /** The ended jobs whose definitions are in memory only, in the order of their ends. */
   private final Deque<Job> inMemory = new ArrayDeque<>();
 
   /** The jobs of which only the final state is left, in the order of their ends. */
   private final Deque<EndedJob> archived = new ArrayDeque<>();
 
-  JobRetention(SchedulerContext context, JobRegistry jobs, JournalQueue journal) {
+  JobRetention(
+      SchedulerContext context, JobRegistry jobs, JournalQueue journal, UsageLedger usage) {
     this.context = context;
     this.jobs = jobs;
     this.journal = journal;
+    this.usage = usage;
   }
 
   /**
@@ -59,15 +72,35 @@
   }
 
   private void archiveInJournal() {
+    archiveThoseThatStopped();
     while (!inJournal.isEmpty()
         && isPast(inJournal.peek().endedAt().orElseThrow(), JOURNAL_DELAY)
         && inJournal.peek().storedState().isTerminal()) {
       Job job = inJournal.remove();
-      journal.addArchived(job.id());
-      inMemory.add(job);
+      if (usage.hasRuns(job.id())) {
+        stillRunning.add(job);
+      } else {
+        archiveInJournal(job);
+      }
+    }
+  }
+
+  private void archiveThoseThatStopped() {
+    Iterator<Job> iterator = stillRunning.iterator();
+    while (iterator.hasNext()) {
+      Job job = iterator.next();
+      if (!usage.hasRuns(job.id())) {
+        iterator.remove();
+        archiveInJournal(job);
+      }
     }
   }
 
+  private void archiveInJournal(Job job) {
+    journal.addArchived(job.id());
+    inMemory.add(job);
+  }
+
   private void archiveInMemory() {
     while (!inMemory.isEmpty() && isPast(inMemory.peek().endedAt().orElseThrow(), MEMORY_DELAY)) {
       jobs.archive(EndedJob.of(inMemory.remove()));
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
@@ -93,7 +93,7 @@
 
   /** Accounts for the runs that an earlier scheduler assigned, until their workers report. */
   void inheritRuns() {
-    for (Job job : jobs.active()) {
+    for (Job job : jobs.known()) {
       for (Step step : job.steps()) {
         for (Task task : step.tasks()) {
           task.worker().ifPresent(worker -> inheritRun(step, task, worker));
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -27,6 +27,7 @@
 import org.hyssopport.engine.placement.Placer;
 import org.hyssopport.engine.placement.StepOrder;
 import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.quota.OrganisationLimits;
 import org.hyssopport.engine.scheduler.WorkerAvailability.CircuitLimit;
 import org.hyssopport.engine.scheduler.WorkerAvailability.EligibleWorkers;
 import org.hyssopport.engine.worker.TrackedWorker;
@@ -60,6 +61,7 @@
   private final RunManager runManager;
   private final AdviceDispatcher adviceDispatcher;
   private final WorkerAvailability availability;
+  private final HeldSteps heldSteps;
   private final Map<StepId, StepAdvice> adviceByStep = new HashMap<>();
   private final GangReservations reservations = new GangReservations();
   private final Map<String, GoodWorkerShareEstimate> goodShareByQueue = new HashMap<>();
@@ -76,13 +78,15 @@
       JobRegistry jobs,
       TrackedWorkerRegistry workers,
       RunManager runManager,
-      AdviceDispatcher adviceDispatcher) {
+      AdviceDispatcher adviceDispatcher,
+      OrganisationLimits limits) {
     this.context = context;
     this.jobs = jobs;
     this.workers = workers;
     this.runManager = runManager;
     this.adviceDispatcher = adviceDispatcher;
     availability = new WorkerAvailability(context, workers);
+    heldSteps = new HeldSteps(context, limits);
   }
 
   /** Returns when the next placement pass is due, if one was requested. */
@@ -137,6 +141,7 @@
     adviceDispatcher.cancel(step);
     nextAdviceRequestAt.remove(step);
     unplacedSince.remove(step);
+    heldSteps.forget(step);
   }
 
   private boolean isEnded(StepId id) {
@@ -146,12 +151,17 @@
   private void placeStep(Step step) {
     Optional<AdvicePolicy> policy = step.job().definition().queue().advice();
     StepAdvice stepAdvice = adviceByStep.computeIfAbsent(step.id(), each -> StepAdvice.empty());
+    List<Task> waiting = heldSteps.permitted(step);
+    if (waiting.isEmpty()) {
+      unplacedSince.remove(step.id());
+      reservations.release(step.id());
+      return;
+    }
     Instant ticketsValidAt = context.now().plus(TICKET_MARGIN);
     EligibleWorkers allowed =
         policy.isEmpty()
             ? availability.forStep(step)
             : workersWithTicket(step, stepAdvice, ticketsValidAt);
-    List<Task> waiting = step.waitingTasks();
     if (allowed.isEmpty() && adviceDispatcher.isPending(step.id())) {
       return;
     }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/RunManager.java
@@ -12,6 +12,7 @@
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.job.Task;
+import org.hyssopport.engine.quota.OrganisationLimits;
 import org.hyssopport.engine.worker.RunEnd;
 import org.hyssopport.engine.worker.RunId;
 import org.hyssopport.engine.worker.RunPhase;
@@ -42,6 +43,7 @@
   private final JobRegistry jobs;
   private final TrackedWorkerRegistry workers;
   private final JournalQueue journal;
+  private final OrganisationLimits limits;
   private final FailureAttribution failureAttribution;
 
   /** Runs whose stop was ordered and not confirmed, with the worker that got the order. */
@@ -54,11 +56,13 @@
       SchedulerContext context,
       JobRegistry jobs,
       TrackedWorkerRegistry workers,
-      JournalQueue journal) {
+      JournalQueue journal,
+      OrganisationLimits limits) {
     this.context = context;
     this.jobs = jobs;
     this.workers = workers;
     this.journal = journal;
+    this.limits = limits;
     failureAttribution = new FailureAttribution(context, workers);
   }
 
@@ -80,13 +84,20 @@
     if (!current || trackedRun.phase() != RunPhase.STORING) {
       return;
     }
-    if (worker.acceptsWork()) {
-      sendStart(worker, trackedRun);
-    } else {
+    if (!worker.acceptsWork()) {
       releaseRun(worker, trackedRun, "worker stopped accepting work before the start was ordered");
+    } else if (isBeyondLimit(trackedRun)) {
+      releaseRun(worker, trackedRun, "limit of the organisation was lowered before the start");
+    } else {
+      sendStart(worker, trackedRun);
     }
   }
 
+  /** Returns whether a limit was lowered since the run was assigned, below what may run already. */
+  private boolean isBeyondLimit(TrackedRun trackedRun) {
+    return trackedRun.step().filter(step -> limits.isExceeded(step.job().definition())).isPresent();
+  }
+
   private void sendStart(TrackedWorker worker, TrackedRun trackedRun) {
     Step step = trackedRun.step().orElseThrow();
     Task task = step.task(trackedRun.id().task().index());
@@ -189,7 +200,8 @@
     // The second half of the gang window is left for stopping the other tasks of the gang, or for
     // starting the gang again.
     Duration resendWithin = context.settings().gangWindow().dividedBy(2);
-    return trackedRun.startsSent() < MAXIMUM_STARTS_SENT
+    return !isBeyondLimit(trackedRun)
+        && trackedRun.startsSent() < MAXIMUM_STARTS_SENT
         && context.now().isBefore(trackedRun.placedAt().plus(resendWithin));
   }
 
@@ -198,7 +210,10 @@
     for (TrackedRun trackedRun : List.copyOf(worker.runs())) {
       boolean reported =
           trackedRun.reportNeededSince().filter(at -> !pollSentAt.isBefore(at)).isPresent();
-      if (reported) {
+      if (reported && isBeyondLimit(trackedRun)) {
+        stop(
+            worker, trackedRun, "start not answered, and the limit of the organisation is reached");
+      } else if (reported) {
         sendStart(worker, trackedRun);
       }
     }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/worker/TrackedWorker.java
@@ -34,6 +34,7 @@
   private final IncarnationEvidence evidence = IncarnationEvidence.none();
   private final Map<RunId, TrackedRun> runs = new LinkedHashMap<>();
   private WorkerDescription description;
+  private RunListener runListener = RunListener.NONE;
   private LiveListEntry liveListEntry = LiveListEntry.PRESENT;
   private boolean reportReceived;
   private boolean reportComplete = true;
@@ -83,6 +84,11 @@
     return description.id();
   }
 
+  /** Sets what is told of the runs that are added and removed from now on. */
+  public void setRunListener(RunListener listener) {
+    runListener = listener;
+  }
+
   /** Replaces the description by a newer one of the same incarnation from the live list. */
   public void updateDescription(WorkerDescription newer) {
     description = newer;
@@ -206,6 +212,7 @@
       throw new IllegalStateException("run is already on its worker: " + run.id());
     }
     used = used.plus(run.demand());
+    runListener.onRunAdded(run);
   }
 
   /** Removes a run and frees its resources; returns false if it is not on the worker. */
@@ -216,6 +223,7 @@
     }
     used = used.minus(removed.demand());
     circuitBreaker.recordRunOver(runId);
+    runListener.onRunRemoved(removed);
     return true;
   }
 
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what organisations may have running. */
+package org.hyssopport.engine.quota;
--- a/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/WorkerAvailabilityTests.java
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/scheduler/WorkerAvailabilityTests.java
@@ -19,6 +19,7 @@
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.WorkerAvailability.CircuitLimit;
 import org.hyssopport.engine.worker.RunId;
+import org.hyssopport.engine.worker.RunListener;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerDescription;
 import org.hyssopport.engine.worker.WorkerRunReport;
@@ -39,7 +40,7 @@
 
   private final SchedulerContext context =
       new SchedulerContext(AbstractCellSchedulerTests.SETTINGS);
-  private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry();
+  private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry(RunListener.NONE);
   private final WorkerAvailability availability = new WorkerAvailability(context, workers);
 
   @BeforeEach
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/RunChecker.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/RunChecker.java
@@ -37,6 +37,7 @@
   private final Map<JobId, List<StepDefinition>> stepsByJob = new HashMap<>();
   private final Map<RunId, CompletedRun> completedRuns = new HashMap<>();
   private final AttemptChecker attempts = new AttemptChecker();
+  private final LimitChecker limits = new LimitChecker();
   private boolean carryingOutLateOrder;
   private int startCount;
 
@@ -65,6 +66,10 @@
     attempts.recordSubmission(job, attemptsOfQueue);
   }
 
+  LimitChecker limits() {
+    return limits;
+  }
+
   /** Returns the definition, as submitted, of the step that a run belongs to. */
   public StepDefinition stepOf(RunId runId) {
     StepId id = runId.task().step();
@@ -82,6 +87,9 @@
     Resources total = used.getOrDefault(worker, Resources.NONE).plus(step.demand());
     used.put(worker, total);
     demands.put(runId, step.demand());
+    limits
+        .recordStart(runId.task().step().job(), step.demand(), at, carryingOutLateOrder)
+        .ifPresent(finding -> findings.add(finding + " by " + runId));
     if (!total.fitsIn(capacity)) {
       findings.add(at + " capacity exceeded on " + worker + " by " + runId);
     }
@@ -175,7 +183,9 @@
       findings.add(at + " ended without having started: " + runId);
       return;
     }
-    used.merge(worker, demands.remove(runId).times(-1), Resources::plus);
+    Resources demand = demands.remove(runId);
+    used.merge(worker, demand.times(-1), Resources::plus);
+    limits.recordEnd(runId.task().step().job(), demand);
   }
 
   /** Records that a run that has ended was successful; a gang is done with its first such run. */
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.IntToDoubleFunction;
+import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.engine.job.AdvicePolicy;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
@@ -20,6 +21,9 @@
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.organisation.Organisation;
+import org.hyssopport.engine.organisation.OrganisationDirectory;
+import org.hyssopport.engine.organisation.OrganisationId;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
@@ -45,6 +49,9 @@
   /** Each scheduler reads the journal at least once in this time, if it can be read. */
   private static final Duration JOURNAL_READ_SPAN = Duration.ofMillis(300);
 
+  /** A scheduler that reads the store has a new configuration within this time. */
+  private static final int LONGEST_DELIVERY_MILLIS = 1500;
+
   private final VirtualTime time = new VirtualTime();
   private final Random random;
   private final SimulatedWorkers workers;
@@ -62,6 +69,7 @@
   private final Map<Long, CallerRequest> openRequests = new HashMap<>();
   private Optional<SchedulerHost> host = Optional.empty();
   private boolean adviceAnswered = true;
+  private Optional<CellConfiguration> configuration = Optional.empty();
   private final List<String> decisions = new ArrayList<>();
   private long lastTerm;
   private long lastNumber;
@@ -194,11 +202,39 @@
     SchedulerHost next = new SchedulerHost(this, lastTerm, this::onAnswer);
     host = Optional.of(next);
     next.begin();
+    deliverConfiguration(next);
+  }
+
+  /**
+   * Changes the configuration; the scheduler learns of it within {@code LONGEST_DELIVERY}, as does
+   * each later scheduler after its term has begun.
+   */
+  public void configure(List<Organisation> organisations) {
+    long version = configuration.map(CellConfiguration::version).orElse(0L) + 1;
+    configuration =
+        Optional.of(
+            new CellConfiguration(
+                version, List.of(), 0, Optional.of(OrganisationDirectory.of(organisations))));
+    workers.runChecker().limits().recordConfiguration(organisations, time.now());
+    host.ifPresent(this::deliverConfiguration);
+  }
+
+  private void deliverConfiguration(SchedulerHost to) {
+    if (configuration.isPresent()) {
+      SchedulerEvent changed = new SchedulerEvent.ConfigurationChanged(configuration.get());
+      time.afterMillis(random.nextInt(LONGEST_DELIVERY_MILLIS), () -> to.handle(changed));
+    }
   }
 
   /** Submits a job; the submission is repeated until it is accepted. */
   public JobId submit(QueuePolicy queue, List<StepDefinition> steps) {
-    JobDefinition job = define(queue, steps);
+    return submit(queue, steps, Optional.empty());
+  }
+
+  /** Submits a job of an organisation; the submission is repeated until it is accepted. */
+  public JobId submit(
+      QueuePolicy queue, List<StepDefinition> steps, Optional<OrganisationId> organisation) {
+    JobDefinition job = define(queue, steps, organisation);
     sendRequest(new CallerRequest.Submit(job));
     return job.id();
   }
@@ -240,19 +276,17 @@
   }
 
   private JobDefinition define(QueuePolicy queue, List<StepDefinition> steps) {
+    return define(queue, steps, Optional.empty());
+  }
+
+  private JobDefinition define(
+      QueuePolicy queue, List<StepDefinition> steps, Optional<OrganisationId> organisation) {
     lastNumber++;
     JobId id = new JobId(String.format("%016x", lastNumber));
     JobDefinition job =
         new JobDefinition(
-            id,
-            queue,
-            "payload",
-            steps,
-            0,
-            Instant.EPOCH,
-            Duration.ZERO,
-            time.now(),
-            Optional.empty());
+            id, queue, "payload", steps, 0, Instant.EPOCH, Duration.ZERO, time.now(), organisation);
+    organisation.ifPresent(owner -> workers.runChecker().limits().recordSubmission(id, owner));
     submitted.put(id, job);
     workers.runChecker().recordSubmission(id, steps, queue.attempts());
     queue.advice().ifPresent(advice -> workers.tickets().requireFor(id));
