Place no more starts than a congested scheduler can send in time

Load: a narrow link under a scheduler that no member which ranks as well can replace (7 Mbit/s for 650 starts a second); orders wait ever longer, and all tickets run out.

Cause: tasks were placed as fast as room was found, whatever the queue of orders.

Change: while the orders are congested, StartThrottle limits the starts on their way, from placement to result, to what was sent in the last second times 200 ms; the limit holds until the rate changes by more than a quarter. The engine gets it as StartLimitChanged and places no step beyond it (StartLimit). Log lines "starts limited" and "starts no longer limited", counted in hyssopport_cell_decisions.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -187,11 +187,11 @@
     } else if (event instanceof SchedulerEvent.Ticked) {
       tick();
     } else {
-      applyStoreEvent(event);
+      applyHostEvent(event);
     }
   }
 
-  private void applyStoreEvent(SchedulerEvent event) {
+  private void applyHostEvent(SchedulerEvent event) {
     if (event instanceof SchedulerEvent.JournalBatchStored) {
       lastStoreAnswerAt = context.now();
       journal.onBatchStored();
@@ -205,6 +205,8 @@
       entriesRead.entries().forEach(this::applyEntryFromOtherMember);
     } else if (event instanceof SchedulerEvent.JournalRead read) {
       onJournalRead(read.sentAt());
+    } else if (event instanceof SchedulerEvent.StartLimitChanged changed) {
+      placement.limitStarts(changed.most());
     }
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -68,6 +68,7 @@
   /** Since when no worker could take a task of a step that waits. */
   private final Map<StepId, Instant> unplacedSince = new HashMap<>();
 
+  private final StartLimit startLimit = new StartLimit();
   private Instant lastPassAt = Instant.MIN;
   private long lastCallNumber;
 
@@ -112,11 +113,24 @@
     }
     availability.beginPass();
     ready.sort(StepOrder.at(context.now()));
+    startLimit.beginPass(workers.all());
     for (Step step : ready) {
+      if (startLimit.isReached()) {
+        return;
+      }
       placeStep(step);
     }
   }
 
+  /** Limits how many starts may be on their way, or removes the limit. */
+  void limitStarts(Optional<Integer> most) {
+    startLimit.set(most);
+    context.logDecision(
+        most.isPresent() ? "starts limited" : "starts no longer limited",
+        "",
+        most.<Map<String, Object>>map(limit -> Map.of("most", limit)).orElse(Map.of()));
+  }
+
   private void releaseObsoleteReservations(List<Step> ready) {
     if (reservations.isEmpty()) {
       return;
@@ -171,6 +185,7 @@
       unplacedSince.remove(step.id());
       reservations.release(step.id());
       logPlacement(step, chosen);
+      startLimit.recordPlaced(chosen.size());
     }
     if (policy.isPresent() && chosen.size() < waiting.size()) {
       requestAdvice(step, waiting.size() - chosen.size(), stepAdvice, policy.get());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/SchedulerEvent.java
@@ -131,6 +131,14 @@
       Optional<Long> clockMillis)
       implements SchedulerEvent {}
 
+  /**
+   * Limits how many starts may be on their way, since the host can't send more of them in time.
+   *
+   * @param most how many, from the placement of a task to the result of its start order; empty for
+   *     no limit
+   */
+  record StartLimitChanged(Optional<Integer> most) implements SchedulerEvent {}
+
   /**
    * A call for advice ended.
    *
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OrderSender.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/OrderSender.java
@@ -7,6 +7,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.hyssopport.engine.advice.Ticket;
@@ -31,6 +32,8 @@
   private final BooleanSupplier termEnded;
   private final Consumer<SchedulerEvent> eventSink;
 
+  private final AtomicLong ordersTaken = new AtomicLong();
+
   /** The orders that wait for a thread, in their order. */
   private final Queue<WaitingOrder> waiting = new ConcurrentLinkedQueue<>();
 
@@ -87,6 +90,11 @@
     submit(stop.worker(), stop.run(), false, () -> context.workerGateway().stop(stop, term));
   }
 
+  /** Returns how many orders have been taken from the queue to be sent. */
+  long ordersTaken() {
+    return ordersTaken.get();
+  }
+
   /** Returns since when the oldest order that has not been sent waits. */
   Optional<Instant> oldestWaitingSince() {
     return Optional.ofNullable(waiting.peek()).map(WaitingOrder::since);
@@ -119,6 +127,7 @@
           .execute(
               () -> {
                 waiting.remove(waitingOrder);
+                ordersTaken.incrementAndGet();
                 sendNow(worker, run, isStart, order);
               });
     } catch (RejectedExecutionException e) {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerBacklogs.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerBacklogs.java
@@ -60,6 +60,10 @@
     return Optional.ofNullable(ages.get(backlog)).map(age -> (int) age.toMillis());
   }
 
+  boolean isCongested(Backlog backlog) {
+    return congested.contains(backlog);
+  }
+
   /** Returns whether a queue is congested that another member might not have. */
   boolean callForHandOver() {
     return congested.stream().anyMatch(Backlog::isEndedByHandOver);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -86,6 +86,8 @@
   private final OrderSender orderSender;
   private final LiveWorkerCache liveWorkers;
   private final SchedulerBacklogs backlogs;
+  private final StartThrottle startThrottle = new StartThrottle();
+  private Optional<Integer> startLimit = Optional.empty();
   private final Instant begunAt;
   private final Map<String, Instant> memberLastSeen = new ConcurrentHashMap<>();
   private final Set<String> leavingMembers = ConcurrentHashMap.newKeySet();
@@ -405,6 +407,15 @@
     orderSender.oldestWaitingSince().ifPresent(at -> oldestSince.put(Backlog.ORDERS, at));
     journalWriter.awaitingSince().ifPresent(at -> oldestSince.put(Backlog.APPENDS, at));
     backlogs.observe(oldestSince);
+    Optional<Integer> newLimit =
+        startThrottle.update(
+            backlogs.isCongested(Backlog.ORDERS),
+            orderSender.ordersTaken(),
+            context.clock().instant());
+    if (!newLimit.equals(startLimit)) {
+      startLimit = newLimit;
+      handle(new SchedulerEvent.StartLimitChanged(newLimit));
+    }
   }
 
   private void handle(SchedulerEvent event) {
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/CongestionDetectorTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/CongestionDetectorTests.java
@@ -62,6 +62,27 @@
     assertFalse(play(Duration.ofSeconds(1), 650, 140));
   }
 
+  // With no other member to lead, orders of 650 starts a second waited ever longer.
+  @Test
+  void endsWhenNoMoreIsPlacedThanCanBeSent() {
+    StartThrottle throttle = new StartThrottle();
+    Optional<Integer> limit = Optional.empty();
+    long sent = 0;
+    for (int tick = 0; tick < 1000; tick++) {
+      boolean atLimit = limit.filter(most -> orders.size() >= most).isPresent();
+      int before = orders.size();
+      boolean congested = play(Duration.ofMillis(TICK_MILLIS), atLimit ? 0 : 650, 7);
+      sent += before + (atLimit ? 0 : 13) - orders.size();
+      limit = throttle.update(congested, sent, now);
+    }
+    assertEquals(Optional.of(79), limit);
+    assertFalse(detector.isCongested(Backlog.ORDERS, now));
+    assertTrue(orders.size() <= limit.get() + 13, orders.size() + " orders wait");
+    assertTrue(sent > 19 * 390, sent + " orders sent");
+    now = now.plusSeconds(1);
+    assertEquals(Optional.empty(), throttle.update(false, sent + 200, now));
+  }
+
   // A hand-over costs more than a delay that is over by then.
   @Test
   void isNotSeenInOneShortDelay() {
