Open jobs to their own organisation only

Load: requests of one organisation that name a job of another one, by mistake or to learn about it. Cause: the scheduler and the members answered whoever named a job's id; a second submission under the id of another job was shown as accepted and never ran. Change: a job's owner is its organisation and queue. The record of an ended job keeps it, as the definition is deleted 2 s after the end; records of earlier versions have none and stay open. Callers saw: the states of the jobs of others, and could cancel them.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Job.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/job/Job.java
@@ -195,7 +195,8 @@
         step.tasks().forEach(task -> task.progress().ifPresent(tasks::add));
       }
     }
-    return new JobProgress(id(), state, tasks);
+    return new JobProgress(
+        id(), state, tasks, isEnded() ? JobOwner.of(definition) : Optional.empty());
   }
 
   /**
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerAnswer.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerAnswer.java
@@ -23,6 +23,8 @@
     REJECTED,
     /** The job is larger than the journal can hold: it is not stored, and a retry is of no use. */
     TOO_LARGE,
+    /** The id belongs to a job of another organisation: nothing is stored, now or later. */
+    ID_IN_USE,
     /** Nothing was done, because a component that the request needs could not be reached. */
     UNAVAILABLE,
     /** It is not known whether the request took effect. */
@@ -37,7 +39,7 @@
     /** Returns whether the verdict can be the answer to a request of this kind. */
     public boolean answers(CallerRequest request) {
       return switch (this) {
-        case ACCEPTED, REJECTED, TOO_LARGE -> request instanceof CallerRequest.Submit;
+        case ACCEPTED, REJECTED, TOO_LARGE, ID_IN_USE -> request instanceof CallerRequest.Submit;
         case STATE -> request instanceof CallerRequest.Show;
         case CANCELLED -> request instanceof CallerRequest.Cancel;
         case UNKNOWN_JOB -> !(request instanceof CallerRequest.Submit);
@@ -47,7 +49,7 @@
 
     /** Returns whether the verdict says that the request had no effect. */
     public boolean isRefusal() {
-      return this == REJECTED || this == TOO_LARGE || this == UNAVAILABLE;
+      return this == REJECTED || this == TOO_LARGE || this == ID_IN_USE || this == UNAVAILABLE;
     }
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerRequest.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerRequest.java
@@ -23,6 +23,9 @@
   /** Returns the id of the job that the request concerns. */
   JobId job();
 
+  /** Returns who calls; empty if it is not known, as on a cell without organisations. */
+  Optional<CallerIdentity> caller();
+
   /**
    * Submits a job.
    *
@@ -33,6 +36,11 @@
     public JobId job() {
       return definition.id();
     }
+
+    @Override
+    public Optional<CallerIdentity> caller() {
+      return Optional.of(new CallerIdentity(definition.organisation(), definition.queue().name()));
+    }
   }
 
   /**
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -53,6 +53,7 @@
   private final AdviceDispatcher adviceDispatcher = AdviceDispatcher.create();
   private final JournalRecovery journalRecovery;
   private final JobRetention retention;
+  private final JobAccess access;
   private final RunManager runManager;
   private final WorkerIncarnations incarnations;
   private final PlacementManager placement;
@@ -64,7 +65,7 @@
   private final UnknownJobCancellations unknownJobCancellations;
 
   /** The callers that cancel a job whose acceptance is neither stored nor refused yet. */
-  private final Map<JobId, List<CallerRequestId>> cancellingBeforeStored = new HashMap<>();
+  private final Map<JobId, List<EarlyCancellation>> cancellingBeforeStored = new HashMap<>();
 
   /** The callers that wait until the acceptance of a job is stored or refused. */
   private final Map<JobId, List<CallerRequestId>> awaitingAcceptance = new HashMap<>();
@@ -79,13 +80,22 @@
    * arrived.
    */
   private record WaitingCancellation(
-      CallerRequestId caller, JobId job, Instant arrivedAt, Instant giveUpAt) {}
+      CallerRequestId caller, CallerRequest.Cancel request, Instant arrivedAt, Instant giveUpAt) {
+
+    private JobId job() {
+      return request.job();
+    }
+  }
+
+  /** A cancellation of a job whose acceptance is neither stored nor refused yet. */
+  private record EarlyCancellation(CallerRequestId caller, CallerRequest.Cancel request) {}
 
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
     unknownJobCancellations = new UnknownJobCancellations(settings.retention());
     journalRecovery = new JournalRecovery(context, jobs, workers);
     retention = new JobRetention(context, jobs, journal);
+    access = new JobAccess(context, jobs);
     runManager = new RunManager(context, jobs, workers, journal);
     incarnations = new WorkerIncarnations(context, jobs, workers, runManager);
     placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher);
@@ -280,10 +290,12 @@
   private void handleRequest(SchedulerEvent.CallerRequestReceived received) {
     if (!recovered) {
       reply(received.caller(), CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+    } else if (!access.permits(received.request())) {
+      reply(received.caller(), JobAccess.refusalOf(received.request()));
     } else if (received.request() instanceof CallerRequest.Submit submit) {
       submit(received.caller(), submit.definition());
     } else if (received.request() instanceof CallerRequest.Cancel cancel) {
-      cancel(received.caller(), cancel.job());
+      cancel(received.caller(), cancel);
     } else {
       show(received.caller(), received.request().job());
     }
@@ -330,11 +342,11 @@
     job.markAcceptanceStored();
     context.requestPlacement();
     replyToAll(job, CallerAnswer.of(Verdict.ACCEPTED));
-    removeCancelling(job).forEach(caller -> cancel(caller, job.id()));
+    removeCancelling(job).forEach(early -> cancel(early.caller(), early.request()));
     applyRememberedCancellation(job.id());
   }
 
-  private List<CallerRequestId> removeCancelling(Job job) {
+  private List<EarlyCancellation> removeCancelling(Job job) {
     return Optional.ofNullable(cancellingBeforeStored.remove(job.id())).orElse(List.of());
   }
 
@@ -353,15 +365,18 @@
     jobs.remove(job.id());
     journal.withdraw(job);
     replyToAll(job, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
-    removeCancelling(job).forEach(caller -> cancelAfterJournalRead(caller, job.id()));
+    removeCancelling(job).forEach(early -> cancelAfterJournalRead(early.caller(), early.request()));
     context.logDecision("rejected", job.id(), Map.of("reason", "journal store refused the record"));
   }
 
-  private void cancel(CallerRequestId caller, JobId id) {
+  private void cancel(CallerRequestId caller, CallerRequest.Cancel request) {
+    JobId id = request.job();
     Optional<Job> found = jobs.find(id);
     if (awaitingAcceptance.containsKey(id)) {
       // The store may still refuse the job, and there is none then.
-      cancellingBeforeStored.computeIfAbsent(id, each -> new ArrayList<>()).add(caller);
+      cancellingBeforeStored
+          .computeIfAbsent(id, each -> new ArrayList<>())
+          .add(new EarlyCancellation(caller, request));
       return;
     }
     if (jobs.archivedState(id).isPresent()) {
@@ -369,7 +384,7 @@
       return;
     }
     if (found.isEmpty()) {
-      cancelAfterJournalRead(caller, id);
+      cancelAfterJournalRead(caller, request);
       return;
     }
     if (!found.get().isEnded()) {
@@ -389,13 +404,14 @@
    * may have stored the job. A next scheduler would run the job if its caller were told now that
    * there is none.
    */
-  private void cancelAfterJournalRead(CallerRequestId caller, JobId id) {
+  private void cancelAfterJournalRead(CallerRequestId caller, CallerRequest.Cancel request) {
     if (!storeAvailable || unknownJobCancellations.isFull(waitingCancellations.size())) {
       reply(caller, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
       return;
     }
     waitingCancellations.add(
-        new WaitingCancellation(caller, id, context.now(), context.now().plus(CANCELLATION_WAIT)));
+        new WaitingCancellation(
+            caller, request, context.now(), context.now().plus(CANCELLATION_WAIT)));
   }
 
   private void answerCancellationsBefore(Instant readSentAt) {
@@ -403,20 +419,29 @@
         && !waitingCancellations.peek().arrivedAt().isAfter(readSentAt)) {
       WaitingCancellation waiting = waitingCancellations.remove();
       if (jobs.find(waiting.job()).isPresent()) {
-        cancel(waiting.caller(), waiting.job());
+        cancelNowKnown(waiting);
       } else {
         storeCancellationOfUnknownJob(waiting);
       }
     }
   }
 
+  /** Cancels a job that has become known meanwhile, unless it is another organisation's. */
+  private void cancelNowKnown(WaitingCancellation waiting) {
+    if (access.permits(waiting.request())) {
+      cancel(waiting.caller(), waiting.request());
+    } else {
+      reply(waiting.caller(), JobAccess.refusalOf(waiting.request()));
+    }
+  }
+
   /** Answers the cancellations that have waited too long for a read of the journal. */
   private void giveUpCancellations() {
     while (!waitingCancellations.isEmpty()
         && !context.now().isBefore(waitingCancellations.peek().giveUpAt())) {
       WaitingCancellation waiting = waitingCancellations.remove();
       if (jobs.find(waiting.job()).isPresent()) {
-        cancel(waiting.caller(), waiting.job());
+        cancelNowKnown(waiting);
       } else {
         context.logDecision(
             "job not known yet", waiting.job(), Map.of("reason", "journal not read in time"));
@@ -441,7 +466,7 @@
   private void answerStoredCancellation(WaitingCancellation waiting) {
     if (jobs.find(waiting.job()).isPresent()) {
       // The job was submitted meanwhile.
-      cancel(waiting.caller(), waiting.job());
+      cancelNowKnown(waiting);
     } else {
       reply(waiting.caller(), CallerAnswer.of(Verdict.UNKNOWN_JOB));
     }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobRegistry.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JobRegistry.java
@@ -10,9 +10,11 @@
 import java.util.Optional;
 import org.hyssopport.engine.job.Job;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobOwner;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.job.StepId;
+import org.hyssopport.engine.organisation.CallerIdentity;
 
 /** The known jobs, with an index of those that have not ended, and the states of archived ones. */
 final class JobRegistry {
@@ -67,6 +69,15 @@
     return Optional.ofNullable(archived.get(id)).map(EndedJob::state);
   }
 
+  /** Returns whether a job is unknown or open to a caller. */
+  boolean isOpenTo(JobId id, Optional<CallerIdentity> caller) {
+    Optional<JobOwner> owner =
+        find(id)
+            .map(job -> JobOwner.of(job.definition()))
+            .orElseGet(() -> Optional.ofNullable(archived.get(id)).flatMap(EndedJob::owner));
+    return JobOwner.isOpen(owner, caller);
+  }
+
   Optional<Step> findStep(StepId id) {
     return find(id.job()).flatMap(job -> job.step(id));
   }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/JournalRecovery.java
@@ -84,7 +84,7 @@
       found.get().restore(entry.progress(), context.now());
       jobs.deactivateIfEnded(found.get());
     } else if (state.isTerminal()) {
-      jobs.archive(new EndedJob(entry.job(), state, context.now()));
+      jobs.archive(new EndedJob(entry.job(), state, context.now(), entry.progress().owner()));
     } else {
       context.logDecision(
           "job left out", entry.job(), Map.of("reason", "journal lacks its definition"));
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -429,12 +429,40 @@
           openRequest, new JournalEntry.Accepted(submit.definition()), Verdict.ACCEPTED, answerBy);
     }
     if (request instanceof CallerRequest.Cancel cancel) {
+      JobOpenness openness = opennessOf(cancel);
+      if (openness != JobOpenness.OPEN) {
+        return openness == JobOpenness.CLOSED
+            ? Optional.of(CallerAnswer.of(Verdict.UNKNOWN_JOB))
+            : Optional.empty();
+      }
       return appendWithoutScheduler(
           openRequest, new JournalEntry.Cancelled(cancel.job()), Verdict.CANCELLED, answerBy);
     }
     return Optional.of(showStored(request));
   }
 
+  /** Whether a job is open to a caller who cancels it. */
+  private enum JobOpenness {
+    OPEN,
+    CLOSED,
+    NOT_KNOWN
+  }
+
+  /**
+   * Looks the owner of a job up. A cancellation of another organisation's job must not reach the
+   * journal, which does not hold who cancels.
+   */
+  private JobOpenness opennessOf(CallerRequest.Cancel cancel) {
+    if (cancel.caller().isEmpty()) {
+      return JobOpenness.OPEN;
+    }
+    return switch (jobStates.lookUp(cancel.job()).status()) {
+      case UNREACHABLE, UNREADABLE -> JobOpenness.NOT_KNOWN;
+      case KNOWN, ABSENT ->
+          jobStates.isOpenTo(cancel.job(), cancel.caller()) ? JobOpenness.OPEN : JobOpenness.CLOSED;
+    };
+  }
+
   private CallerAnswer showStored(CallerRequest request) {
     JobStateCache.JobLookup lookup = jobStates.lookUp(request.job());
     context
@@ -445,7 +473,10 @@
             Map.of(
                 "knowledge", lookup.status(), "state", lookup.state().map(Enum::name).orElse("")));
     return switch (lookup.status()) {
-      case KNOWN -> CallerAnswer.state(lookup.state().orElseThrow());
+      case KNOWN ->
+          jobStates.isOpenTo(request.job(), request.caller())
+              ? CallerAnswer.state(lookup.state().orElseThrow())
+              : CallerAnswer.of(Verdict.UNKNOWN_JOB);
       case ABSENT -> CallerAnswer.of(Verdict.UNKNOWN_JOB);
       case UNREACHABLE, UNREADABLE -> CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, RETRY_AFTER);
     };
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JobStateCache.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/JobStateCache.java
@@ -10,8 +10,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobOwner;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.organisation.CallerIdentity;
 import org.hyssopport.platform.StoreFailure;
 import org.hyssopport.platform.StorePage;
 import org.hyssopport.platform.StoreRecord;
@@ -35,6 +37,7 @@
 
   private final MemberContext context;
   private final Map<JobId, JobState> states = new HashMap<>();
+  private final Map<JobId, JobOwner> owners = new HashMap<>();
 
   /** The keys whose newest record can't be decoded. */
   private final Set<String> unreadableKeys = new HashSet<>();
@@ -120,6 +123,7 @@
     }
     if (nextOffset.isEmpty()) {
       states.clear();
+      owners.clear();
       unreadableKeys.clear();
     }
     applyRecords(page.get().records());
@@ -147,15 +151,27 @@
           .get()
           .ifPresentOrElse(
               this::applyEntry,
-              () -> JournalCodec.forgottenJob(record.key()).ifPresent(states::remove));
+              () -> JournalCodec.forgottenJob(record.key()).ifPresent(this::forget));
     }
   }
 
+  private void forget(JobId job) {
+    states.remove(job);
+    owners.remove(job);
+  }
+
+  /** Returns whether a job is unknown, as of the last lookup, or open to a caller. */
+  synchronized boolean isOpenTo(JobId id, Optional<CallerIdentity> caller) {
+    return JobOwner.isOpen(Optional.ofNullable(owners.get(id)), caller);
+  }
+
   private void applyEntry(JournalEntry entry) {
     // A Cancelled entry changes no state here: the scheduler records the result as progress.
-    if (entry instanceof JournalEntry.Accepted) {
+    if (entry instanceof JournalEntry.Accepted accepted) {
       states.putIfAbsent(entry.job(), JobState.QUEUED);
+      JobOwner.of(accepted.definition()).ifPresent(owner -> owners.put(entry.job(), owner));
     } else if (entry instanceof JournalEntry.Progressed progressed) {
+      progressed.progress().owner().ifPresent(owner -> owners.put(entry.job(), owner));
       boolean started = !progressed.progress().tasks().isEmpty();
       JobState storedState = progressed.progress().state();
       states.put(
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JobStateCacheTests.java
@@ -1,6 +1,7 @@
 package org.hyssopport.launcher.cell;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpServer;
@@ -20,9 +21,12 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobOwner;
 import org.hyssopport.engine.job.JobProgress;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.organisation.CallerIdentity;
+import org.hyssopport.engine.organisation.OrganisationId;
 import org.hyssopport.launcher.cell.JobStateCache.JobLookup;
 import org.hyssopport.launcher.cell.JobStateCache.LookupStatus;
 import org.hyssopport.platform.StoreWrite;
@@ -152,6 +156,25 @@
     assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
   }
 
+  @Test
+  void endedJobsAreOpenToTheirOwnerOnly() {
+    JobOwner owner = new JobOwner(new OrganisationId("a"), "plans");
+    JobProgress ended = new JobProgress(ID, JobState.COMPLETE, List.of(), Optional.of(owner));
+    for (StoreWrite write : JournalCodec.encode(List.of(new JournalEntry.Progressed(ended)))) {
+      addRecord(write.key(), write.value().orElseThrow());
+    }
+    assertEquals(LookupStatus.KNOWN, cache.lookUp(ID).status());
+    assertTrue(cache.isOpenTo(ID, callerOf("a")));
+    assertFalse(cache.isOpenTo(ID, callerOf("b")));
+    deleteLater(new JournalEntry.Forgotten(ID));
+    assertEquals(LookupStatus.ABSENT, cache.lookUp(ID).status());
+    assertTrue(cache.isOpenTo(ID, callerOf("b")));
+  }
+
+  private static Optional<CallerIdentity> callerOf(String organisation) {
+    return Optional.of(new CallerIdentity(Optional.of(new OrganisationId(organisation)), "plans"));
+  }
+
   @Test
   void showsCancelledJobsThatNobodySubmittedAsAbsent() {
     for (StoreWrite write : JournalCodec.encode(List.of(new JournalEntry.Cancelled(ID)))) {
--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/JournalCodecTests.java
@@ -23,11 +23,14 @@
 import org.hyssopport.engine.job.Job;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
+import org.hyssopport.engine.job.JobOwner;
 import org.hyssopport.engine.job.JobProgress;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
+import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.engine.job.TaskProgress;
+import org.hyssopport.engine.organisation.OrganisationId;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.platform.StoreRecord;
@@ -182,6 +185,51 @@
         JournalCodec.decode(new StoreRecord(1, "p" + ID, Optional.of(value))));
   }
 
+  /** The definition of a job as versions stored it that knew no organisations. */
+  private record EarlierJobDefinition(
+      JobId id,
+      QueuePolicy queue,
+      String payload,
+      List<StepDefinition> steps,
+      int occurrences,
+      Instant firstDue,
+      Duration interval,
+      Instant acceptedAt) {}
+
+  @Test
+  void definitionsOfEarlierVersionsHaveNoOrganisation() {
+    JobDefinition job = validJob();
+    EarlierJobDefinition earlier =
+        new EarlierJobDefinition(
+            job.id(),
+            job.queue(),
+            job.payload(),
+            job.steps(),
+            job.occurrences(),
+            job.firstDue(),
+            job.interval(),
+            job.acceptedAt());
+    byte[] value = MessagePackCodec.of(EarlierJobDefinition.class).encode(earlier);
+    assertEquals(
+        Either.right(Optional.of(new JournalEntry.Accepted(job))),
+        JournalCodec.decode(new StoreRecord(1, "j" + ID, Optional.of(value))));
+  }
+
+  // The definition of an ended job, which names its organisation, is deleted seconds after the end.
+  @Test
+  void endedJobsKeepTheirOwner() {
+    JournalEntry ended =
+        new JournalEntry.Progressed(
+            new JobProgress(
+                ID,
+                JobState.COMPLETE,
+                List.of(),
+                Optional.of(new JobOwner(new OrganisationId("a"), "plans"))));
+    Optional<byte[]> value = JournalCodec.encode(List.of(ended)).get(0).value();
+    assertEquals(
+        Either.right(Optional.of(ended)), JournalCodec.decode(new StoreRecord(1, "p" + ID, value)));
+  }
+
   // Such a record became an entry of nulls, on which the scheduler's thread ended in each term.
   @ParameterizedTest
   @ValueSource(strings = {"j", "p"})
