--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ConfigurationExchangeTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/ConfigurationExchangeTests.java
@@ -87,7 +87,10 @@
 
   private static byte[] configuration(long version, int routes) {
     StringBuilder json = new StringBuilder("{\"version\":" + version);
-    json.append(",\"tenants\":[{\"name\":\"a\",\"weight\":1,\"apiKeys\":[\"" + SECRET + "\"]}]");
+    json.append(
+        ",\"tenants\":[{\"name\":\"a\",\"weight\":1,\"maxCount\":{},\"apiKeys\":[\""
+            + SECRET
+            + "\"]}]");
     json.append(",\"routes\":[");
     for (int route = 0; route < routes; route++) {
       json.append(route == 0 ? "" : ",");
