Refuse jobs at once that can't be of use to their callers any more

Load: demand beyond the room, or beyond what one organisation may have running, for so long that new jobs wait in vain. Until now every job was accepted while the store answered, so such callers learnt it when their time was over.

The scheduler refuses a new job with 429 if the work that is placed before it can't be started while a result is of use (three times the objective), at the speed of all usable workers, or of the limit of its organisation. Retry-After is when the backlog has shrunk far enough, spread by the job's id; a caller that returns counts from its first request.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -57,6 +57,7 @@
   private final WorkerIncarnations incarnations;
   private final PlacementManager placement;
   private final WorkerPoller poller;
+  private final AdmissionManager admission;
 
   /** The cancellations of unknown jobs that wait for a read of the journal, in their order. */
   private final Deque<WaitingCancellation> waitingCancellations = new ArrayDeque<>();
@@ -90,6 +91,7 @@
     incarnations = new WorkerIncarnations(context, jobs, workers, runManager);
     placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher);
     poller = new WorkerPoller(context, workers, runManager, incarnations);
+    admission = new AdmissionManager(context, jobs, workers);
   }
 
   /** Returns a scheduler that has not read the journal yet. */
@@ -230,6 +232,7 @@
     runManager.resendStops();
     runManager.stopUnreportedStarts();
     retention.tick();
+    admission.tick(recovered && storeAvailable);
   }
 
   private void recover(SchedulerEvent.Recovered recovery) {
@@ -239,6 +242,7 @@
     updateWorkers(recovery.workers(), idsOf(recovery.lapsed()));
     journalRecovery.inheritRuns();
     recovered = true;
+    admission.begin();
     cancelled.forEach(this::cancelOrRemember);
     context.logDecision(
         "recovered",
@@ -306,6 +310,12 @@
       return;
     }
     if (found.isEmpty()) {
+      Optional<CallerAnswer> refusal =
+          isJournalReadRecent() ? admission.refusalOf(definition) : Optional.empty();
+      if (refusal.isPresent()) {
+        reply(caller, refusal.get());
+        return;
+      }
       accept(definition);
     }
     Job job = jobs.find(definition.id()).orElseThrow();
@@ -317,7 +327,8 @@
   }
 
   private void accept(JobDefinition definition) {
-    Job job = Job.accepted(definition, context.now());
+    Job job = Job.accepted(definition, admission.askedAt(definition.id()));
+    admission.recordAccepted(definition);
     jobs.add(job);
     journal.addAccepted(job, () -> confirmAcceptance(job), () -> withdrawAcceptance(job));
     context.logDecision(
@@ -487,9 +498,7 @@
     Optional<JobState> state = jobs.find(id).map(Job::storedState).or(() -> jobs.archivedState(id));
     if (state.isPresent()) {
       reply(caller, CallerAnswer.state(state.get()));
-    } else if (journalReadAt
-        .filter(readAt -> context.now().isBefore(readAt.plus(MAXIMUM_JOURNAL_AGE)))
-        .isPresent()) {
+    } else if (isJournalReadRecent()) {
       reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
     } else {
       // Another member may have stored the job since the journal was last read.
@@ -498,6 +507,12 @@
     }
   }
 
+  private boolean isJournalReadRecent() {
+    return journalReadAt
+        .filter(readAt -> context.now().isBefore(readAt.plus(MAXIMUM_JOURNAL_AGE)))
+        .isPresent();
+  }
+
   private void onJournalRead(Instant sentAt) {
     if (journalReadAt.filter(sentAt::isBefore).isEmpty()) {
       journalReadAt = Optional.of(sentAt);
@@ -515,6 +530,7 @@
       if (found.isEmpty()) {
         jobs.add(
             journalRecovery.toStoredJob(accepted.definition(), journalReadAt.orElse(Instant.MIN)));
+        admission.recordStoredElsewhere(accepted.job());
         context.logDecision("accepted elsewhere", accepted.job(), Map.of());
       } else if (!found.get().acceptanceStored()) {
         confirmAcceptance(found.get());
--- /dev/null
+++ b/hyssopport-engine/src/test/java/org/hyssopport/engine/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions about which jobs to refuse. */
+package org.hyssopport.engine.admission;
