--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -63,6 +63,7 @@
   private final WorkerIncarnations incarnations;
   private final PlacementManager placement;
   private final WorkerPoller poller;
+  private final AdmissionManager admission;
 
   /** The cancellations of unknown jobs that wait for a read of the journal, in their order. */
   private final Deque<WaitingCancellation> waitingCancellations = new ArrayDeque<>();
@@ -105,6 +106,7 @@
     incarnations = new WorkerIncarnations(context, jobs, workers, runManager);
     placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher, limits);
     poller = new WorkerPoller(context, workers, runManager, incarnations);
+    admission = new AdmissionManager(context, jobs, workers);
   }
 
   /** Returns a scheduler that has not read the journal yet. */
@@ -248,6 +250,7 @@
     runManager.resendStops();
     runManager.stopUnreportedStarts();
     retention.tick();
+    admission.tick(recovered && storeAvailable);
   }
 
   private void recover(SchedulerEvent.Recovered recovery) {
@@ -257,6 +260,7 @@
     updateWorkers(recovery.workers(), idsOf(recovery.lapsed()));
     journalRecovery.inheritRuns();
     recovered = true;
+    admission.begin();
     cancelled.forEach(this::cancelOrRemember);
     context.logDecision(
         "recovered",
@@ -326,9 +330,9 @@
       return;
     }
     if (found.isEmpty()) {
-      Optional<Organisation> exceeded = limits.exceededByAnyStep(definition);
-      if (exceeded.isPresent()) {
-        rejectBeyondLimit(caller, definition, exceeded.get());
+      Optional<CallerAnswer> refusal = refusalOf(definition);
+      if (refusal.isPresent()) {
+        reply(caller, refusal.get());
         return;
       }
       accept(definition);
@@ -341,21 +345,26 @@
     }
   }
 
-  private void rejectBeyondLimit(
-      CallerRequestId caller, JobDefinition definition, Organisation organisation) {
-    context.logDecision(
-        "rejected",
-        definition.id(),
-        Map.of(
-            "reason", "a task or gang is larger than the limit of its organisation",
-            "organisation", organisation.id(),
-            "limit", organisation.limit(),
-            "version", limits.configurationVersion().orElse(0L)));
-    reply(caller, CallerAnswer.of(Verdict.EXCEEDS_LIMIT));
+  /** Returns the refusal of a job that is not known, or empty if it is accepted. */
+  private Optional<CallerAnswer> refusalOf(JobDefinition definition) {
+    Optional<Organisation> exceeded = limits.exceededByAnyStep(definition);
+    if (exceeded.isPresent()) {
+      context.logDecision(
+          "rejected",
+          definition.id(),
+          Map.of(
+              "reason", "a task or gang is larger than the limit of its organisation",
+              "organisation", exceeded.get().id(),
+              "limit", exceeded.get().limit(),
+              "version", limits.configurationVersion().orElse(0L)));
+      return Optional.of(CallerAnswer.of(Verdict.EXCEEDS_LIMIT));
+    }
+    return isJournalReadRecent() ? admission.refusalOf(definition) : Optional.empty();
   }
 
   private void accept(JobDefinition definition) {
-    Job job = Job.accepted(definition, context.now());
+    Job job = Job.accepted(definition, admission.askedAt(definition.id()));
+    admission.recordAccepted(definition);
     jobs.add(job);
     journal.addAccepted(job, () -> confirmAcceptance(job), () -> withdrawAcceptance(job));
     context.logDecision(
@@ -538,9 +547,7 @@
     Optional<JobState> state = jobs.find(id).map(Job::storedState).or(() -> jobs.archivedState(id));
     if (state.isPresent()) {
       reply(caller, CallerAnswer.state(state.get()));
-    } else if (journalReadAt
-        .filter(readAt -> context.now().isBefore(readAt.plus(MAXIMUM_JOURNAL_AGE)))
-        .isPresent()) {
+    } else if (isJournalReadRecent()) {
       reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
     } else {
       // Another member may have stored the job since the journal was last read.
@@ -549,6 +556,12 @@
     }
   }
 
+  private boolean isJournalReadRecent() {
+    return journalReadAt
+        .filter(readAt -> context.now().isBefore(readAt.plus(MAXIMUM_JOURNAL_AGE)))
+        .isPresent();
+  }
+
   private void onJournalRead(Instant sentAt) {
     if (journalReadAt.filter(sentAt::isBefore).isEmpty()) {
       journalReadAt = Optional.of(sentAt);
@@ -566,6 +579,7 @@
       if (found.isEmpty()) {
         jobs.add(
             journalRecovery.toStoredJob(accepted.definition(), journalReadAt.orElse(Instant.MIN)));
+        admission.recordStoredElsewhere(accepted.job());
         context.logDecision("accepted elsewhere", accepted.job(), Map.of());
       } else if (!found.get().acceptanceStored()) {
         confirmAcceptance(found.get());
