Split the scheduler's entry class by its new duties

Change: the live list is applied by WorkerIncarnations, and AdmissionManager decides on both kinds of refusal. No decision changes.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/AdmissionManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/AdmissionManager.java
@@ -18,6 +18,8 @@
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.job.StepDefinition;
 import org.hyssopport.engine.job.Task;
+import org.hyssopport.engine.organisation.Organisation;
+import org.hyssopport.engine.quota.OrganisationLimits;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
 import org.hyssopport.engine.worker.TrackedWorker;
 
@@ -36,15 +38,21 @@
   private final SchedulerContext context;
   private final JobRegistry jobs;
   private final TrackedWorkerRegistry workers;
+  private final OrganisationLimits limits;
   private final RefusedCallers refusedCallers = RefusedCallers.none();
   private final Map<String, ServiceLoad> loadByService = new HashMap<>();
   private Instant nextSampleAt = Instant.MIN;
   private Instant refusesFrom = Instant.MAX;
 
-  AdmissionManager(SchedulerContext context, JobRegistry jobs, TrackedWorkerRegistry workers) {
+  AdmissionManager(
+      SchedulerContext context,
+      JobRegistry jobs,
+      TrackedWorkerRegistry workers,
+      OrganisationLimits limits) {
     this.context = context;
     this.jobs = jobs;
     this.workers = workers;
+    this.limits = limits;
   }
 
   /** Records that the term has begun. */
@@ -155,8 +163,34 @@
     return work;
   }
 
-  /** Returns the refusal of a new job, or empty if it is admitted. */
-  Optional<CallerAnswer> refusalOf(JobDefinition definition) {
+  /**
+   * Returns the refusal of a new job, or empty if it is admitted.
+   *
+   * @param definition the job
+   * @param journalKnown whether the journal was read recently, so that no other member has stored
+   *     the job; a refusal for want of room would not be true otherwise
+   */
+  Optional<CallerAnswer> refusalOf(JobDefinition definition, boolean journalKnown) {
+    Optional<Organisation> exceeded = limits.exceededByAnyStep(definition);
+    if (exceeded.isPresent()) {
+      logExceededLimit(definition, exceeded.get());
+      return Optional.of(CallerAnswer.of(Verdict.EXCEEDS_LIMIT));
+    }
+    return journalKnown ? refusalForWantOfRoom(definition) : Optional.empty();
+  }
+
+  private void logExceededLimit(JobDefinition definition, Organisation organisation) {
+    context.logDecision(
+        "rejected",
+        definition.id(),
+        Map.of(
+            "reason", "a task or gang is larger than the limit of its organisation",
+            "organisation", organisation.id(),
+            "limit", organisation.limit(),
+            "version", limits.configurationVersion().orElse(0L)));
+  }
+
+  private Optional<CallerAnswer> refusalForWantOfRoom(JobDefinition definition) {
     boolean runsOnce =
         !definition.timed() && definition.steps().stream().noneMatch(StepDefinition::lasting);
     ServiceLoad load = loadOf(definition);
@@ -165,7 +199,8 @@
     }
     double mostAhead = load.waitingWork + load.admittedWork;
     if (!decide(definition, load, mostAhead, mostAhead).isRefusal()) {
-      // Spares the look at each waiting job while the whole backlog would not delay this one enough.
+      // Spares the look at each waiting job while the whole backlog would not delay this one
+      // enough.
       return Optional.empty();
     }
     AdmissionDecision decision = decide(definition, load);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,7 +17,6 @@
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
-import org.hyssopport.engine.organisation.Organisation;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.quota.OrganisationLimits;
 import org.hyssopport.engine.quota.UsageLedger;
@@ -106,7 +104,7 @@
     incarnations = new WorkerIncarnations(context, jobs, workers, runManager);
     placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher, limits);
     poller = new WorkerPoller(context, workers, runManager, incarnations);
-    admission = new AdmissionManager(context, jobs, workers);
+    admission = new AdmissionManager(context, jobs, workers, limits);
   }
 
   /** Returns a scheduler that has not read the journal yet. */
@@ -189,7 +187,7 @@
     } else if (event instanceof SchedulerEvent.CallerRequestReceived received) {
       handleRequest(received);
     } else if (event instanceof SchedulerEvent.LiveListReceived liveList) {
-      updateWorkers(liveList.workers(), liveList.lapsed());
+      incarnations.applyLiveList(liveList.workers(), liveList.lapsed());
     } else if (event instanceof SchedulerEvent.WorkerPolled polled) {
       poller.onPollResult(polled);
     } else if (event instanceof SchedulerEvent.OrderFinished order) {
@@ -257,7 +255,7 @@
     lastStoreAnswerAt = context.now();
     Set<JobId> cancelled = journalRecovery.restoreJobs(recovery.entries());
     recovery.lapsed().forEach(incarnations::update);
-    updateWorkers(recovery.workers(), idsOf(recovery.lapsed()));
+    incarnations.applyLiveList(recovery.workers(), idsOf(recovery.lapsed()));
     journalRecovery.inheritRuns();
     recovered = true;
     admission.begin();
@@ -277,28 +275,6 @@
     return workers.stream().map(WorkerDescription::id).collect(Collectors.toSet());
   }
 
-  private void updateWorkers(List<WorkerDescription> descriptions, Set<WorkerId> lapsed) {
-    Set<WorkerId> listedIds = new HashSet<>();
-    for (WorkerDescription description : descriptions) {
-      listedIds.add(description.id());
-      incarnations.update(description);
-    }
-    for (TrackedWorker worker : List.copyOf(workers.all())) {
-      if (listedIds.contains(worker.id())) {
-        continue;
-      }
-      if (lapsed.contains(worker.id())) {
-        worker.markLapsed();
-        worker.schedulePollBy(context.now());
-      } else {
-        worker.markUnlisted();
-        if (worker.runs().isEmpty() && !worker.hasUnstoredEnds()) {
-          workers.remove(worker.id());
-        }
-      }
-    }
-  }
-
   private void handleRequest(SchedulerEvent.CallerRequestReceived received) {
     if (!recovered) {
       reply(received.caller(), CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
@@ -330,7 +306,7 @@
       return;
     }
     if (found.isEmpty()) {
-      Optional<CallerAnswer> refusal = refusalOf(definition);
+      Optional<CallerAnswer> refusal = admission.refusalOf(definition, isJournalReadRecent());
       if (refusal.isPresent()) {
         reply(caller, refusal.get());
         return;
@@ -345,23 +321,6 @@
     }
   }
 
-  /** Returns the refusal of a job that is not known, or empty if it is accepted. */
-  private Optional<CallerAnswer> refusalOf(JobDefinition definition) {
-    Optional<Organisation> exceeded = limits.exceededByAnyStep(definition);
-    if (exceeded.isPresent()) {
-      context.logDecision(
-          "rejected",
-          definition.id(),
-          Map.of(
-              "reason", "a task or gang is larger than the limit of its organisation",
-              "organisation", exceeded.get().id(),
-              "limit", exceeded.get().limit(),
-              "version", limits.configurationVersion().orElse(0L)));
-      return Optional.of(CallerAnswer.of(Verdict.EXCEEDS_LIMIT));
-    }
-    return isJournalReadRecent() ? admission.refusalOf(definition) : Optional.empty();
-  }
-
   private void accept(JobDefinition definition) {
     Job job = Job.accepted(definition, admission.askedAt(definition.id()));
     admission.recordAccepted(definition);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerIncarnations.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerIncarnations.java
@@ -2,9 +2,11 @@
 
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.worker.RunId;
 import org.hyssopport.engine.worker.RunPhase;
@@ -41,6 +43,34 @@
     this.runManager = runManager;
   }
 
+  /**
+   * Applies the current live list.
+   *
+   * @param descriptions all workers on the list
+   * @param lapsed the workers whose entries expired while the store was away
+   */
+  void applyLiveList(List<WorkerDescription> descriptions, Set<WorkerId> lapsed) {
+    Set<WorkerId> listedIds = new HashSet<>();
+    for (WorkerDescription description : descriptions) {
+      listedIds.add(description.id());
+      update(description);
+    }
+    for (TrackedWorker worker : List.copyOf(workers.all())) {
+      if (listedIds.contains(worker.id())) {
+        continue;
+      }
+      if (lapsed.contains(worker.id())) {
+        worker.markLapsed();
+        worker.schedulePollBy(context.now());
+      } else {
+        worker.markUnlisted();
+        if (worker.runs().isEmpty() && !worker.hasUnstoredEnds()) {
+          workers.remove(worker.id());
+        }
+      }
+    }
+  }
+
   /** Applies an entry of the live list, which may be of a newer or an older incarnation. */
   void update(WorkerDescription description) {
     Optional<TrackedWorker> found = workers.find(description.id());
