Let a scheduler that was replaced unawares learn of withdrawn keys

Cause: the others replaced it; it heard no heartbeats any more, did not know of the next term, and took itself for the scheduler, so it asked nobody. Change: a member that hears neither the store nor a heartbeat for 600 ms asks one of the members that it has heard before, whether or not it leads. The store's stand-in gets a second address, which can turn its callers away. Callers saw: on that member, withdrawn keys served for as long as the store turned it away.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -265,9 +265,7 @@
     while (Threads.pause(CONFIGURATION_CHECK_MILLIS)) {
       Threads.runRound(
           "configuration-requests",
-          () ->
-              configurationExchange.askWithoutScheduler(
-                  election.memberAddresses(), election.schedulerSeenRecently()));
+          () -> configurationExchange.askIfNothingIsHeard(election.memberAddresses()));
     }
   }
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/PeerConfigurationPolicy.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/PeerConfigurationPolicy.java
@@ -26,6 +26,10 @@
    */
   private static final Duration REPEAT_AFTER = Duration.ofSeconds(1);
 
+  /** Three heartbeats: without one for that long, no other member tells what is in force. */
+  private static final Duration SILENCE = Duration.ofMillis(600);
+
+  private Instant lastStatedAt = Instant.MIN;
   private long newestOffered = -1;
   private Instant behindSince = Instant.MIN;
   private Instant askAgainAt = Instant.MIN;
@@ -40,6 +44,7 @@
    */
   synchronized boolean shouldAsk(
       long offered, Optional<Long> held, boolean storeReachable, Instant now) {
+    lastStatedAt = now;
     if (held.filter(version -> version >= offered).isPresent()) {
       return false;
     }
@@ -56,15 +61,15 @@
   }
 
   /**
-   * Decides whether to ask a member that has stated nothing.
+   * Decides whether to ask a member that has stated nothing. A scheduler that others have replaced
+   * while the store turned it away hears no heartbeats, and does not know it yet.
    *
    * @param storeReachable whether the last read of the configuration succeeded
-   * @param schedulerSeen whether the scheduler still states its version from time to time
    * @param now the local monotonic clock
    */
-  synchronized boolean shouldAskAnyMember(
-      boolean storeReachable, boolean schedulerSeen, Instant now) {
-    return !storeReachable && !schedulerSeen && tryBegin(now);
+  synchronized boolean shouldAskAnyMember(boolean storeReachable, Instant now) {
+    boolean silent = !now.isBefore(lastStatedAt.plus(SILENCE));
+    return !storeReachable && silent && tryBegin(now);
   }
 
   private boolean tryBegin(Instant now) {
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/StoreStandIn.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/platform/StoreStandIn.java
@@ -37,6 +37,8 @@
   private final PlatformHttpServer server;
   private final Map<String, Topic> topics = new HashMap<>();
   private final Map<String, Group> groups = new HashMap<>();
+  private volatile boolean secondAddressClosed;
+  private Optional<PlatformHttpServer> secondServer = Optional.empty();
   private boolean down;
   private boolean silent;
   private int answersToLose;
@@ -76,14 +78,41 @@
    */
   public static StoreStandIn open(String host) throws IOException {
     StoreStandIn store = new StoreStandIn(PlatformHttpServer.open(host, 0));
-    store.server.addHandler("/api/log-append", store.unlessSilent(store::append));
-    store.server.addHandler("/api/log-read", store.unlessSilent(store::read));
-    store.server.addHandler("/api/log-newest", store.unlessSilent(store::readNewest));
-    store.server.addHandler("/api/log-join", store.unlessSilent(store::join));
-    store.server.addHandler("/api/log-leave", store.unlessSilent(store::leave));
+    store.handlers().forEach(store.server::addHandler);
     return store;
   }
 
+  private Map<String, PlatformHttpServer.Handler> handlers() {
+    return Map.of(
+        "/api/log-append", unlessSilent(this::append),
+        "/api/log-read", unlessSilent(this::read),
+        "/api/log-newest", unlessSilent(this::readNewest),
+        "/api/log-join", unlessSilent(this::join),
+        "/api/log-leave", unlessSilent(this::leave));
+  }
+
+  /**
+   * Opens a second address, for the members that {@link #turnAwayAtSecondAddress} concerns.
+   *
+   * @return its host and port
+   * @throws IOException if no port can be bound
+   */
+  public String openSecondAddress(String host) throws IOException {
+    PlatformHttpServer second = PlatformHttpServer.open(host, 0);
+    handlers()
+        .forEach(
+            (path, handler) ->
+                second.addHandler(
+                    path, call -> secondAddressClosed ? Reply.empty(503) : handler.answer(call)));
+    secondServer = Optional.of(second);
+    return second.address();
+  }
+
+  /** Answers all calls at the second address with status 503 from now on, and no others. */
+  public void turnAwayAtSecondAddress() {
+    secondAddressClosed = true;
+  }
+
   private PlatformHttpServer.Handler unlessSilent(PlatformHttpServer.Handler handler) {
     return call -> {
       waitWhileSilent();
@@ -361,6 +390,7 @@
 
   @Override
   public void close() {
+    secondServer.ifPresent(PlatformHttpServer::close);
     server.close();
   }
 }
