Order steps by the shares of their organisations when all is full

Load: one organisation sends 7.5 times its usual load for 6.5 s while the cell is full. What binds: urgency alone decided, so that the others paid for its crest.

Change: FairShareOrder arranges the steps of a placement pass. While all that runs and waits fits, the order is that of urgency, as without organisations. Beyond that, steps that begin within the weighted share of their organisation come first, the others by how far it is beyond its share. Unused shares are lent. Steps beyond a share ask for advice only when no other call waits. PeakLoad has organisations, and ./bench shares measures them.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceDispatcher.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/advice/AdviceDispatcher.java
@@ -78,6 +78,11 @@
     return pendingSteps.contains(step);
   }
 
+  /** Returns whether calls wait for a member that is free to make them. */
+  public boolean hasWaitingCalls() {
+    return !waitingCalls.isEmpty();
+  }
+
   /** Queues a call, unless one for the same step is pending. */
   public void enqueue(AdviceCall call) {
     if (pendingSteps.add(call.step())) {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/StepOrder.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/placement/StepOrder.java
@@ -32,6 +32,11 @@
         .thenComparing(step -> step.id().toString());
   }
 
+  /** Returns whether a result of the step's job no longer is of use to its caller. */
+  public static boolean isUseless(Step step, Instant now) {
+    return Urgency.of(step.job(), now) == Urgency.USELESS;
+  }
+
   private static Instant latestStart(Step step) {
     return step.job().objective().minus(step.definition().estimate());
   }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/quota/OrganisationLimits.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/quota/OrganisationLimits.java
@@ -27,6 +27,7 @@
   /** The last known limit of each organisation, also of those that no longer are configured. */
   private final Map<OrganisationId, ResourceLimit> lastLimits = new HashMap<>();
 
+  private final Map<OrganisationId, Long> weights = new HashMap<>();
   private Optional<CellConfiguration> configuration = Optional.empty();
 
   private OrganisationLimits(UsageLedger ledger) {
@@ -41,6 +42,7 @@
   /** Puts a configuration in force. */
   public void applyConfiguration(CellConfiguration newer) {
     configuration = Optional.of(newer);
+    weights.clear();
     newer
         .organisations()
         .ifPresent(
@@ -48,7 +50,10 @@
                 directory
                     .all()
                     .forEach(
-                        organisation -> lastLimits.put(organisation.id(), organisation.limit())));
+                        organisation -> {
+                          lastLimits.put(organisation.id(), organisation.limit());
+                          weights.put(organisation.id(), organisation.weight());
+                        }));
   }
 
   /** Returns the version of the configuration in force; empty if none is known yet. */
@@ -56,6 +61,21 @@
     return configuration.map(CellConfiguration::version);
   }
 
+  /** Returns whether the configuration in force states organisations. */
+  public boolean hasOrganisations() {
+    return !weights.isEmpty();
+  }
+
+  /**
+   * Returns the weight of an organisation. One that is no longer configured has the least, since
+   * nobody is owed more for it; jobs that no organisation submitted share that of an average one.
+   */
+  public double weightOf(Optional<OrganisationId> organisation) {
+    return organisation.isPresent()
+        ? weights.getOrDefault(organisation.get(), 1L)
+        : weights.values().stream().mapToLong(Long::longValue).average().orElse(1);
+  }
+
   /** Returns the last known limit of an organisation; empty if this process never knew one. */
   public Optional<ResourceLimit> limitOf(OrganisationId organisation) {
     return Optional.ofNullable(lastLimits.get(organisation));
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/quota/UsageLedger.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/quota/UsageLedger.java
@@ -1,9 +1,11 @@
 package org.hyssopport.engine.quota;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.organisation.OrganisationId;
@@ -28,6 +30,9 @@
   private final Map<OrganisationId, Resources> usedByOrganisation = new HashMap<>();
   private final Map<JobId, Integer> runsByJob = new HashMap<>();
 
+  /** The runs of jobs that no organisation submitted. */
+  private Resources withoutOrganisation = Resources.NONE;
+
   /** The runs of unknown steps, each of which may be of any organisation. */
   private Resources unattributed = Resources.NONE;
 
@@ -52,11 +57,12 @@
       return;
     }
     organisationOf(run.step().get())
-        .ifPresent(
+        .ifPresentOrElse(
             organisation -> {
               usedByOrganisation.merge(organisation, run.demand(), Resources::plus);
               runsByJob.merge(run.step().get().job().id(), 1, Integer::sum);
-            });
+            },
+            () -> withoutOrganisation = withoutOrganisation.plus(run.demand()));
   }
 
   @Override
@@ -66,13 +72,14 @@
       return;
     }
     organisationOf(run.step().get())
-        .ifPresent(
+        .ifPresentOrElse(
             organisation -> {
               usedByOrganisation.computeIfPresent(
                   organisation, (each, used) -> nonZero(used.minus(run.demand())));
               runsByJob.computeIfPresent(
                   run.step().get().job().id(), (each, runs) -> runs == 1 ? null : runs - 1);
-            });
+            },
+            () -> withoutOrganisation = withoutOrganisation.minus(run.demand()));
   }
 
   private static Resources nonZero(Resources amount) {
@@ -96,6 +103,16 @@
     return usedByOrganisation.getOrDefault(organisation, Resources.NONE);
   }
 
+  /** Returns what jobs that no organisation submitted may have running. */
+  public Resources usedWithoutOrganisation() {
+    return withoutOrganisation;
+  }
+
+  /** Returns the organisations that may have runs. */
+  public Set<OrganisationId> organisations() {
+    return Collections.unmodifiableSet(usedByOrganisation.keySet());
+  }
+
   /** Returns whether a job of an organisation may have runs. */
   public boolean hasRuns(JobId job) {
     return runsByJob.containsKey(job);
@@ -106,6 +123,7 @@
     return other instanceof UsageLedger that
         && usedByOrganisation.equals(that.usedByOrganisation)
         && runsByJob.equals(that.runsByJob)
+        && withoutOrganisation.equals(that.withoutOrganisation)
         && unattributed.equals(that.unattributed);
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -18,10 +18,8 @@
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
-import org.hyssopport.engine.organisation.Organisation;
 import org.hyssopport.engine.platform.WorkerId;
-import org.hyssopport.engine.quota.OrganisationLimits;
-import org.hyssopport.engine.quota.UsageLedger;
+import org.hyssopport.engine.quota.OrganisationSharing;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerDescription;
@@ -51,11 +49,11 @@
 
   private final SchedulerContext context;
   private final JobRegistry jobs = new JobRegistry();
-  private final UsageLedger usage = UsageLedger.empty();
-  private final OrganisationLimits limits = OrganisationLimits.withoutConfiguration(usage);
-  private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry(usage);
+  private final OrganisationSharing sharing = OrganisationSharing.create();
+  private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry(sharing.usage());
   private final JournalQueue journal = new JournalQueue();
   private final AdviceDispatcher adviceDispatcher = AdviceDispatcher.create();
+  private final HeldSteps heldSteps;
   private final JournalRecovery journalRecovery;
   private final JobRetention retention;
   private final RunManager runManager;
@@ -89,11 +87,14 @@
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
     unknownJobCancellations = new UnknownJobCancellations(settings.retention());
+    heldSteps = new HeldSteps(context, sharing.limits());
     journalRecovery = new JournalRecovery(context, jobs, workers);
-    retention = new JobRetention(context, jobs, journal, usage);
-    runManager = new RunManager(context, jobs, workers, journal, limits);
+    retention = new JobRetention(context, jobs, journal, sharing.usage());
+    runManager = new RunManager(context, jobs, workers, journal, sharing.limits());
     incarnations = new WorkerIncarnations(context, jobs, workers, runManager);
-    placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher, limits);
+    placement =
+        new PlacementManager(
+            context, jobs, workers, runManager, adviceDispatcher, heldSteps, sharing.shareOrder());
     poller = new WorkerPoller(context, workers, runManager, incarnations);
   }
 
@@ -189,7 +190,7 @@
       adviceDispatcher.setMembers(changed.members());
     } else if (event instanceof SchedulerEvent.ConfigurationChanged changed) {
       context.applyConfiguration(changed.configuration());
-      context.configuration().ifPresent(limits::applyConfiguration);
+      context.configuration().ifPresent(sharing.limits()::applyConfiguration);
     } else if (event instanceof SchedulerEvent.Ticked) {
       tick();
     } else {
@@ -311,12 +312,11 @@
       reply(caller, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
       return;
     }
+    if (found.isEmpty() && heldSteps.rejects(definition)) {
+      reply(caller, CallerAnswer.of(Verdict.EXCEEDS_LIMIT));
+      return;
+    }
     if (found.isEmpty()) {
-      Optional<Organisation> exceeded = limits.exceededByAnyStep(definition);
-      if (exceeded.isPresent()) {
-        rejectBeyondLimit(caller, definition, exceeded.get());
-        return;
-      }
       accept(definition);
     }
     Job job = jobs.find(definition.id()).orElseThrow();
@@ -327,19 +327,6 @@
     }
   }
 
-  private void rejectBeyondLimit(
-      CallerRequestId caller, JobDefinition definition, Organisation organisation) {
-    context.logDecision(
-        "rejected",
-        definition.id(),
-        Map.of(
-            "reason", "a task or gang is larger than the limit of its organisation",
-            "organisation", organisation.id(),
-            "limit", organisation.limit(),
-            "version", limits.configurationVersion().orElse(0L)));
-    reply(caller, CallerAnswer.of(Verdict.EXCEEDS_LIMIT));
-  }
-
   private void accept(JobDefinition definition) {
     Job job = Job.accepted(definition, context.now());
     jobs.add(job);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/HeldSteps.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/HeldSteps.java
@@ -3,15 +3,20 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.job.StepId;
 import org.hyssopport.engine.job.Task;
+import org.hyssopport.engine.organisation.Organisation;
 import org.hyssopport.engine.organisation.OrganisationId;
 import org.hyssopport.engine.quota.OrganisationLimits;
 
-/** Holds back the tasks that would take an organisation over its limit. */
+/**
+ * Holds back the tasks that would take an organisation over its limit, and rejects the jobs that
+ * never fit in it.
+ */
 final class HeldSteps {
 
   private final SchedulerContext context;
@@ -25,6 +30,22 @@
     this.limits = limits;
   }
 
+  /** Returns whether a job is to be rejected, since one of its tasks or gangs can never run. */
+  boolean rejects(JobDefinition job) {
+    Optional<Organisation> exceeded = limits.exceededByAnyStep(job);
+    exceeded.ifPresent(
+        organisation ->
+            context.logDecision(
+                "rejected",
+                job.id(),
+                Map.of(
+                    "reason", "a task or gang is larger than the limit of its organisation",
+                    "organisation", organisation.id(),
+                    "limit", organisation.limit(),
+                    "version", limits.configurationVersion().orElse(0L))));
+    return exceeded.isPresent();
+  }
+
   /** Returns the waiting tasks of a step that may be started; for a gang, all of them or none. */
   List<Task> permitted(Step step) {
     List<Task> waiting = step.waitingTasks();
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -27,7 +27,7 @@
 import org.hyssopport.engine.placement.Placer;
 import org.hyssopport.engine.placement.StepOrder;
 import org.hyssopport.engine.platform.WorkerId;
-import org.hyssopport.engine.quota.OrganisationLimits;
+import org.hyssopport.engine.quota.FairShareOrder;
 import org.hyssopport.engine.scheduler.WorkerAvailability.CircuitLimit;
 import org.hyssopport.engine.scheduler.WorkerAvailability.EligibleWorkers;
 import org.hyssopport.engine.worker.TrackedWorker;
@@ -62,6 +62,7 @@
   private final AdviceDispatcher adviceDispatcher;
   private final WorkerAvailability availability;
   private final HeldSteps heldSteps;
+  private final FairShareOrder shareOrder;
   private final Map<StepId, StepAdvice> adviceByStep = new HashMap<>();
   private final GangReservations reservations = new GangReservations();
   private final Map<String, GoodWorkerShareEstimate> goodShareByQueue = new HashMap<>();
@@ -79,14 +80,16 @@
       TrackedWorkerRegistry workers,
       RunManager runManager,
       AdviceDispatcher adviceDispatcher,
-      OrganisationLimits limits) {
+      HeldSteps heldSteps,
+      FairShareOrder shareOrder) {
     this.context = context;
     this.jobs = jobs;
     this.workers = workers;
     this.runManager = runManager;
     this.adviceDispatcher = adviceDispatcher;
     availability = new WorkerAvailability(context, workers);
-    heldSteps = new HeldSteps(context, limits);
+    this.heldSteps = heldSteps;
+    this.shareOrder = shareOrder;
   }
 
   /** Returns when the next placement pass is due, if one was requested. */
@@ -116,7 +119,7 @@
     }
     availability.beginPass();
     ready.sort(StepOrder.at(context.now()));
-    for (Step step : ready) {
+    for (Step step : shareOrder.arrange(ready, availability::room, context.now())) {
       placeStep(step);
     }
   }
@@ -295,7 +298,12 @@
 
   private void requestAdvice(Step step, int tasks, StepAdvice stepAdvice, AdvicePolicy policy) {
     Instant notBefore = nextAdviceRequestAt.getOrDefault(step.id(), Instant.MIN);
-    if (adviceDispatcher.isPending(step.id()) || context.now().isBefore(notBefore)) {
+    // Calls for advice bind as much as room does, and what is beyond a share takes what is left.
+    boolean waitsForOthers =
+        shareOrder.isBeyondShare(step.id()) && adviceDispatcher.hasWaitingCalls();
+    if (waitsForOthers
+        || adviceDispatcher.isPending(step.id())
+        || context.now().isBefore(notBefore)) {
       return;
     }
     List<WorkerId> selected = selectWorkersForAdvice(step, tasks, stepAdvice, policy);
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerAvailability.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/WorkerAvailability.java
@@ -9,6 +9,7 @@
 import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.job.Step;
 import org.hyssopport.engine.worker.TrackedWorker;
+import org.hyssopport.policy.Resources;
 
 /**
  * Selects the workers that may get work in one placement pass.
@@ -113,6 +114,17 @@
     suspectsExcluded = !isTooMany(suspects, workers.all().size());
   }
 
+  /** Returns the resources of all workers that accept work, used or not. */
+  Resources room() {
+    Resources room = Resources.NONE;
+    for (TrackedWorker worker : workers.all()) {
+      if (isAccepting(worker)) {
+        room = room.plus(worker.description().capacity());
+      }
+    }
+    return room;
+  }
+
   private static boolean isTooMany(long excluded, int all) {
     return excluded > all * MAXIMUM_EXCLUDED_SHARE;
   }
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/bench/Bench.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/bench/Bench.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 import org.hyssopport.policy.Json;
+import org.hyssopport.testkit.world.OrganisationMix;
 import org.hyssopport.testkit.world.PeakLoad;
 import org.hyssopport.testkit.world.Simulation;
 import org.knowm.xchart.BitmapEncoder;
@@ -57,7 +58,8 @@
                 "take-over",
                 "speed",
                 "control",
-                "scheduler");
+                "scheduler",
+                "shares");
     Bench bench = new Bench();
     for (String name : selected) {
       bench.runExperiment(name);
@@ -77,6 +79,7 @@
       case "speed" -> measureDecisionSpeed();
       case "control" -> measureControlCost();
       case "scheduler" -> measureScheduler();
+      case "shares" -> measureShares();
       default -> throw new IllegalArgumentException("unknown experiment: " + name);
     }
     rows.addAll(experiments.rows());
@@ -145,18 +148,33 @@
   private void measureScheduler() {
     for (PeakLoad.Size size : PeakLoad.Size.values()) {
       for (double scale : new double[] {1, 1.5}) {
-        Simulation simulation = size.newSimulation(PEAK_LOAD_SEED);
-        Map<String, Double> earnedShares =
-            PeakLoad.play(simulation, size, PEAK_LOAD_SEED, scale, PEAK_LOAD_SECONDS);
-        String variant = size.name().toLowerCase(Locale.ROOT) + ", load " + scale;
-        earnedShares.forEach(
-            (kind, share) -> addRow("scheduler", variant, "worth of " + kind, share * 100, "%"));
-        double corePercent = simulation.decisionNanos() / 1e7 / PEAK_LOAD_SECONDS;
-        addRow("scheduler", variant, "decisions", corePercent, "% of a core");
+        measureScheduler(size, scale, OrganisationMix.NONE);
       }
     }
   }
 
+  /** Measures the same for services that organisations share, with and without a surge of one. */
+  private void measureShares() {
+    for (PeakLoad.Size size : PeakLoad.Size.values()) {
+      measureScheduler(size, 1, OrganisationMix.NONE);
+      for (int organisations : new int[] {20, 77}) {
+        measureScheduler(size, 1, OrganisationMix.withoutSurge(organisations));
+        measureScheduler(size, 1, OrganisationMix.withSurge(organisations));
+      }
+    }
+  }
+
+  private void measureScheduler(PeakLoad.Size size, double scale, OrganisationMix mix) {
+    Simulation simulation = size.newSimulation(PEAK_LOAD_SEED);
+    Map<String, Double> earnedShares =
+        PeakLoad.play(simulation, size, PEAK_LOAD_SEED, scale, PEAK_LOAD_SECONDS, mix);
+    String variant = size.name().toLowerCase(Locale.ROOT) + ", load " + scale + mix.suffix();
+    earnedShares.forEach(
+        (kind, share) -> addRow("scheduler", variant, "worth of " + kind, share * 100, "%"));
+    double corePercent = simulation.decisionNanos() / 1e7 / PEAK_LOAD_SECONDS;
+    addRow("scheduler", variant, "decisions", corePercent, "% of a core");
+  }
+
   private void writeResults() throws IOException {
     Files.createDirectories(OUTPUT_FOLDER);
     Files.writeString(
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/PeakLoad.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/PeakLoad.java
@@ -4,6 +4,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +16,7 @@
 import org.hyssopport.engine.job.JobId;
 import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.organisation.OrganisationId;
 import org.hyssopport.policy.Resources;
 
 /**
@@ -44,10 +47,17 @@
   private final Random random;
   private final Map<JobId, SubmittedJob> submitted = new LinkedHashMap<>();
 
-  private PeakLoad(Simulation simulation, Size size, long seed) {
+  /** Chooses the organisations, so that the jobs themselves are the same without them. */
+  private final Random organisationRandom;
+
+  private final OrganisationMix mix;
+
+  private PeakLoad(Simulation simulation, Size size, long seed, OrganisationMix mix) {
     this.simulation = simulation;
     this.size = size;
     this.random = new Random(seed);
+    this.organisationRandom = new Random(seed + 1);
+    this.mix = mix;
   }
 
   /** The size of the booking service. */
@@ -180,7 +190,8 @@
     }
   }
 
-  private record SubmittedJob(Kind kind, double worth, Duration objective) {}
+  private record SubmittedJob(
+      Kind kind, double worth, Duration objective, Optional<OrganisationId> organisation) {}
 
   /**
    * Submits the jobs of a load, then advances the simulation by another 60 s of virtual time.
@@ -195,7 +206,23 @@
    */
   public static Map<String, Double> play(
       Simulation simulation, Size size, long seed, double scale, int seconds) {
-    PeakLoad load = new PeakLoad(simulation, size, seed);
+    return play(simulation, size, seed, scale, seconds, OrganisationMix.NONE);
+  }
+
+  /**
+   * The same for a service that organisations share; the largest of them may send many times its
+   * usual load for some time. What it sends then beyond its usual load is not offered worth.
+   *
+   * @return also, under {@code OTHERS}, the share that all but the largest organisation earned, and
+   *     under {@code WORST TENTH} that of the tenth of them that earned least
+   */
+  public static Map<String, Double> play(
+      Simulation simulation, Size size, long seed, double scale, int seconds, OrganisationMix mix) {
+    PeakLoad load = new PeakLoad(simulation, size, seed, mix);
+    PeakLoad surge = new PeakLoad(simulation, size, seed + 2, mix);
+    if (mix.count() > 0) {
+      simulation.configure(mix.organisations());
+    }
     for (int millis = 0; millis < seconds * 1000; millis += TIME_STEP_MILLIS) {
       for (Kind kind : Kind.values()) {
         double rate =
@@ -203,7 +230,11 @@
                 * scale
                 * load.rateFactor(kind, millis / 1000.0);
         if (load.random.nextDouble() < rate * TIME_STEP_MILLIS / 1000) {
-          load.submit(kind);
+          load.submit(kind, mix.draw(load.organisationRandom));
+        }
+        double surgeRate = rate * mix.surgeShareAt(millis / 1000.0);
+        if (surgeRate > 0 && surge.random.nextDouble() < surgeRate * TIME_STEP_MILLIS / 1000) {
+          surge.submit(kind, mix.largest());
         }
       }
       simulation.advance(Duration.ofMillis(TIME_STEP_MILLIS));
@@ -225,7 +256,7 @@
     return wave * (kioskCheckBurst ? 2.2 : routePlanBurst ? 1.8 : 1);
   }
 
-  private void submit(Kind kind) {
+  private void submit(Kind kind, Optional<OrganisationId> organisation) {
     KindParameters parameters = kind.parametersAt(size);
     List<StepDefinition> steps = new ArrayList<>();
     int stepCount = kind == Kind.KIOSK_CHECK || random.nextDouble() < 0.7 ? 1 : 2;
@@ -254,7 +285,7 @@
               false,
               false));
     }
-    JobId id = simulation.submit(kind.queue(size), steps);
+    JobId id = simulation.submit(kind.queue(size), steps, organisation);
     boolean straggles = random.nextDouble() < STRAGGLER_SHARE;
     Duration realDuration =
         Duration.ofMillis((long) (estimatedMillis * (straggles ? STRAGGLER_FACTOR : 1)));
@@ -280,7 +311,8 @@
         new SubmittedJob(
             kind,
             Math.min(worth, MAXIMUM_WORTH_FACTOR * parameters.worth()),
-            Duration.ofMillis((long) (kind.stretch * chainMillis + kind.allowanceMillis))));
+            Duration.ofMillis((long) (kind.stretch * chainMillis + kind.allowanceMillis)),
+            organisation));
   }
 
   /** Draws from a log-normal distribution with the given mean, cut off at a maximum. */
@@ -308,9 +340,35 @@
       offered += kindOffered;
     }
     earned.put("ALL", total / offered);
+    if (mix.count() > 0) {
+      addEarnedByOthers(earned);
+    }
     return earned;
   }
 
+  private void addEarnedByOthers(Map<String, Double> earned) {
+    Map<OrganisationId, double[]> byOrganisation = new HashMap<>();
+    submitted.forEach(
+        (id, job) -> {
+          double[] sums =
+              byOrganisation.computeIfAbsent(
+                  job.organisation().orElseThrow(), each -> new double[2]);
+          sums[0] += job.worth() * earnedShare(id, job.objective());
+          sums[1] += job.worth();
+        });
+    byOrganisation.remove(mix.largest().orElseThrow());
+    List<double[]> worstFirst = new ArrayList<>(byOrganisation.values());
+    worstFirst.sort(Comparator.comparingDouble(sums -> sums[0] / sums[1]));
+    earned.put("OTHERS", sharedBy(worstFirst));
+    int tenth = (worstFirst.size() + 9) / 10;
+    earned.put("WORST TENTH", sharedBy(worstFirst.subList(0, tenth)));
+  }
+
+  private static double sharedBy(List<double[]> sums) {
+    double earned = sums.stream().mapToDouble(each -> each[0]).sum();
+    return earned / sums.stream().mapToDouble(each -> each[1]).sum();
+  }
+
   private double earnedShare(JobId id, Duration objective) {
     Optional<Duration> taken = simulation.timeTaken(id);
     if (taken.isEmpty()
