--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerAnswer.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CallerAnswer.java
@@ -28,6 +28,8 @@
      * not stored, and a retry is of no use while the limit stands.
      */
     EXCEEDS_LIMIT,
+    /** The id belongs to a job of another organisation: nothing is stored, now or later. */
+    ID_IN_USE,
     /** Nothing was done, because a component that the request needs could not be reached. */
     UNAVAILABLE,
     /** It is not known whether the request took effect. */
@@ -42,7 +44,7 @@
     /** Returns whether the verdict can be the answer to a request of this kind. */
     public boolean answers(CallerRequest request) {
       return switch (this) {
-        case ACCEPTED, REJECTED, TOO_LARGE, EXCEEDS_LIMIT ->
+        case ACCEPTED, REJECTED, TOO_LARGE, EXCEEDS_LIMIT, ID_IN_USE ->
             request instanceof CallerRequest.Submit;
         case STATE -> request instanceof CallerRequest.Show;
         case CANCELLED -> request instanceof CallerRequest.Cancel;
@@ -53,7 +55,10 @@
 
     /** Returns whether the verdict says that the request had no effect. */
     public boolean isRefusal() {
-      return this == REJECTED || this == TOO_LARGE || this == EXCEEDS_LIMIT || this == UNAVAILABLE;
+      return switch (this) {
+        case REJECTED, TOO_LARGE, EXCEEDS_LIMIT, ID_IN_USE, UNAVAILABLE -> true;
+        case ACCEPTED, UNCERTAIN, STATE, CANCELLED, UNKNOWN_JOB -> false;
+      };
     }
   }
 
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -53,13 +52,14 @@
   private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry(sharing.usage());
   private final JournalQueue journal = new JournalQueue();
   private final AdviceDispatcher adviceDispatcher = AdviceDispatcher.create();
-  private final HeldSteps heldSteps;
   private final JournalRecovery journalRecovery;
   private final JobRetention retention;
+  private final JobAccess access;
   private final RunManager runManager;
   private final WorkerIncarnations incarnations;
   private final PlacementManager placement;
   private final WorkerPoller poller;
+  private final AdmissionManager admission;
 
   /** The cancellations of unknown jobs that wait for a read of the journal, in their order. */
   private final Deque<WaitingCancellation> waitingCancellations = new ArrayDeque<>();
@@ -67,7 +67,7 @@
   private final UnknownJobCancellations unknownJobCancellations;
 
   /** The callers that cancel a job whose acceptance is neither stored nor refused yet. */
-  private final Map<JobId, List<CallerRequestId>> cancellingBeforeStored = new HashMap<>();
+  private final Map<JobId, List<EarlyCancellation>> cancellingBeforeStored = new HashMap<>();
 
   /** The callers that wait until the acceptance of a job is stored or refused. */
   private final Map<JobId, List<CallerRequestId>> awaitingAcceptance = new HashMap<>();
@@ -82,20 +82,27 @@
    * arrived.
    */
   private record WaitingCancellation(
-      CallerRequestId caller, JobId job, Instant arrivedAt, Instant giveUpAt) {}
+      CallerRequestId caller, CallerRequest.Cancel request, Instant arrivedAt, Instant giveUpAt) {
+
+    private JobId job() {
+      return request.job();
+    }
+  }
+
+  /** A cancellation of a job whose acceptance is neither stored nor refused yet. */
+  private record EarlyCancellation(CallerRequestId caller, CallerRequest.Cancel request) {}
 
   private CellScheduler(SchedulerSettings settings) {
     context = new SchedulerContext(settings);
     unknownJobCancellations = new UnknownJobCancellations(settings.retention());
-    heldSteps = new HeldSteps(context, sharing.limits());
     journalRecovery = new JournalRecovery(context, jobs, workers);
     retention = new JobRetention(context, jobs, journal, sharing.usage());
+    access = new JobAccess(context, jobs);
     runManager = new RunManager(context, jobs, workers, journal, sharing.limits());
     incarnations = new WorkerIncarnations(context, jobs, workers, runManager);
-    placement =
-        new PlacementManager(
-            context, jobs, workers, runManager, adviceDispatcher, heldSteps, sharing.shareOrder());
+    placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher, sharing);
     poller = new WorkerPoller(context, workers, runManager, incarnations);
+    admission = new AdmissionManager(context, jobs, workers, sharing.limits());
   }
 
   /** Returns a scheduler that has not read the journal yet. */
@@ -178,7 +185,7 @@
     } else if (event instanceof SchedulerEvent.CallerRequestReceived received) {
       handleRequest(received);
     } else if (event instanceof SchedulerEvent.LiveListReceived liveList) {
-      updateWorkers(liveList.workers(), liveList.lapsed());
+      incarnations.applyLiveList(liveList.workers(), liveList.lapsed());
     } else if (event instanceof SchedulerEvent.WorkerPolled polled) {
       poller.onPollResult(polled);
     } else if (event instanceof SchedulerEvent.OrderFinished order) {
@@ -194,11 +201,11 @@
     } else if (event instanceof SchedulerEvent.Ticked) {
       tick();
     } else {
-      applyStoreEvent(event);
+      applyHostEvent(event);
     }
   }
 
-  private void applyStoreEvent(SchedulerEvent event) {
+  private void applyHostEvent(SchedulerEvent event) {
     if (event instanceof SchedulerEvent.JournalBatchStored) {
       lastStoreAnswerAt = context.now();
       journal.onBatchStored();
@@ -212,6 +219,8 @@
       entriesRead.entries().forEach(this::applyEntryFromOtherMember);
     } else if (event instanceof SchedulerEvent.JournalRead read) {
       onJournalRead(read.sentAt());
+    } else if (event instanceof SchedulerEvent.StartLimitChanged changed) {
+      placement.limitStarts(changed.most());
     }
   }
 
@@ -237,15 +246,17 @@
     runManager.resendStops();
     runManager.stopUnreportedStarts();
     retention.tick();
+    admission.tick(recovered && storeAvailable);
   }
 
   private void recover(SchedulerEvent.Recovered recovery) {
     lastStoreAnswerAt = context.now();
     Set<JobId> cancelled = journalRecovery.restoreJobs(recovery.entries());
     recovery.lapsed().forEach(incarnations::update);
-    updateWorkers(recovery.workers(), idsOf(recovery.lapsed()));
+    incarnations.applyLiveList(recovery.workers(), idsOf(recovery.lapsed()));
     journalRecovery.inheritRuns();
     recovered = true;
+    admission.begin();
     cancelled.forEach(this::cancelOrRemember);
     context.logDecision(
         "recovered",
@@ -262,35 +273,15 @@
     return workers.stream().map(WorkerDescription::id).collect(Collectors.toSet());
   }
 
-  private void updateWorkers(List<WorkerDescription> descriptions, Set<WorkerId> lapsed) {
-    Set<WorkerId> listedIds = new HashSet<>();
-    for (WorkerDescription description : descriptions) {
-      listedIds.add(description.id());
-      incarnations.update(description);
-    }
-    for (TrackedWorker worker : List.copyOf(workers.all())) {
-      if (listedIds.contains(worker.id())) {
-        continue;
-      }
-      if (lapsed.contains(worker.id())) {
-        worker.markLapsed();
-        worker.schedulePollBy(context.now());
-      } else {
-        worker.markUnlisted();
-        if (worker.runs().isEmpty() && !worker.hasUnstoredEnds()) {
-          workers.remove(worker.id());
-        }
-      }
-    }
-  }
-
   private void handleRequest(SchedulerEvent.CallerRequestReceived received) {
     if (!recovered) {
       reply(received.caller(), CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
+    } else if (!access.permits(received.request())) {
+      reply(received.caller(), JobAccess.refusalOf(received.request()));
     } else if (received.request() instanceof CallerRequest.Submit submit) {
       submit(received.caller(), submit.definition());
     } else if (received.request() instanceof CallerRequest.Cancel cancel) {
-      cancel(received.caller(), cancel.job());
+      cancel(received.caller(), cancel);
     } else {
       show(received.caller(), received.request().job());
     }
@@ -312,11 +303,12 @@
       reply(caller, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
       return;
     }
-    if (found.isEmpty() && heldSteps.rejects(definition)) {
-      reply(caller, CallerAnswer.of(Verdict.EXCEEDS_LIMIT));
-      return;
-    }
     if (found.isEmpty()) {
+      Optional<CallerAnswer> refusal = admission.refusalOf(definition, isJournalReadRecent());
+      if (refusal.isPresent()) {
+        reply(caller, refusal.get());
+        return;
+      }
       accept(definition);
     }
     Job job = jobs.find(definition.id()).orElseThrow();
@@ -328,7 +320,8 @@
   }
 
   private void accept(JobDefinition definition) {
-    Job job = Job.accepted(definition, context.now());
+    Job job = Job.accepted(definition, admission.askedAt(definition.id()));
+    admission.recordAccepted(definition);
     jobs.add(job);
     journal.addAccepted(job, () -> confirmAcceptance(job), () -> withdrawAcceptance(job));
     context.logDecision(
@@ -341,11 +334,11 @@
     job.markAcceptanceStored();
     context.requestPlacement();
     replyToAll(job, CallerAnswer.of(Verdict.ACCEPTED));
-    removeCancelling(job).forEach(caller -> cancel(caller, job.id()));
+    removeCancelling(job).forEach(early -> cancel(early.caller(), early.request()));
     applyRememberedCancellation(job.id());
   }
 
-  private List<CallerRequestId> removeCancelling(Job job) {
+  private List<EarlyCancellation> removeCancelling(Job job) {
     return Optional.ofNullable(cancellingBeforeStored.remove(job.id())).orElse(List.of());
   }
 
@@ -364,15 +357,18 @@
     jobs.remove(job.id());
     journal.withdraw(job);
     replyToAll(job, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
-    removeCancelling(job).forEach(caller -> cancelAfterJournalRead(caller, job.id()));
+    removeCancelling(job).forEach(early -> cancelAfterJournalRead(early.caller(), early.request()));
     context.logDecision("rejected", job.id(), Map.of("reason", "journal store refused the record"));
   }
 
-  private void cancel(CallerRequestId caller, JobId id) {
+  private void cancel(CallerRequestId caller, CallerRequest.Cancel request) {
+    JobId id = request.job();
     Optional<Job> found = jobs.find(id);
     if (awaitingAcceptance.containsKey(id)) {
       // The store may still refuse the job, and there is none then.
-      cancellingBeforeStored.computeIfAbsent(id, each -> new ArrayList<>()).add(caller);
+      cancellingBeforeStored
+          .computeIfAbsent(id, each -> new ArrayList<>())
+          .add(new EarlyCancellation(caller, request));
       return;
     }
     if (jobs.archivedState(id).isPresent()) {
@@ -380,7 +376,7 @@
       return;
     }
     if (found.isEmpty()) {
-      cancelAfterJournalRead(caller, id);
+      cancelAfterJournalRead(caller, request);
       return;
     }
     if (!found.get().isEnded()) {
@@ -400,13 +396,14 @@
    * may have stored the job. A next scheduler would run the job if its caller were told now that
    * there is none.
    */
-  private void cancelAfterJournalRead(CallerRequestId caller, JobId id) {
+  private void cancelAfterJournalRead(CallerRequestId caller, CallerRequest.Cancel request) {
     if (!storeAvailable || unknownJobCancellations.isFull(waitingCancellations.size())) {
       reply(caller, CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, STORE_RETRY));
       return;
     }
     waitingCancellations.add(
-        new WaitingCancellation(caller, id, context.now(), context.now().plus(CANCELLATION_WAIT)));
+        new WaitingCancellation(
+            caller, request, context.now(), context.now().plus(CANCELLATION_WAIT)));
   }
 
   private void answerCancellationsBefore(Instant readSentAt) {
@@ -414,20 +411,29 @@
         && !waitingCancellations.peek().arrivedAt().isAfter(readSentAt)) {
       WaitingCancellation waiting = waitingCancellations.remove();
       if (jobs.find(waiting.job()).isPresent()) {
-        cancel(waiting.caller(), waiting.job());
+        cancelNowKnown(waiting);
       } else {
         storeCancellationOfUnknownJob(waiting);
       }
     }
   }
 
+  /** Cancels a job that has become known meanwhile, unless it is another organisation's. */
+  private void cancelNowKnown(WaitingCancellation waiting) {
+    if (access.permits(waiting.request())) {
+      cancel(waiting.caller(), waiting.request());
+    } else {
+      reply(waiting.caller(), JobAccess.refusalOf(waiting.request()));
+    }
+  }
+
   /** Answers the cancellations that have waited too long for a read of the journal. */
   private void giveUpCancellations() {
     while (!waitingCancellations.isEmpty()
         && !context.now().isBefore(waitingCancellations.peek().giveUpAt())) {
       WaitingCancellation waiting = waitingCancellations.remove();
       if (jobs.find(waiting.job()).isPresent()) {
-        cancel(waiting.caller(), waiting.job());
+        cancelNowKnown(waiting);
       } else {
         context.logDecision(
             "job not known yet", waiting.job(), Map.of("reason", "journal not read in time"));
@@ -452,7 +458,7 @@
   private void answerStoredCancellation(WaitingCancellation waiting) {
     if (jobs.find(waiting.job()).isPresent()) {
       // The job was submitted meanwhile.
-      cancel(waiting.caller(), waiting.job());
+      cancelNowKnown(waiting);
     } else {
       reply(waiting.caller(), CallerAnswer.of(Verdict.UNKNOWN_JOB));
     }
@@ -498,9 +504,7 @@
     Optional<JobState> state = jobs.find(id).map(Job::storedState).or(() -> jobs.archivedState(id));
     if (state.isPresent()) {
       reply(caller, CallerAnswer.state(state.get()));
-    } else if (journalReadAt
-        .filter(readAt -> context.now().isBefore(readAt.plus(MAXIMUM_JOURNAL_AGE)))
-        .isPresent()) {
+    } else if (isJournalReadRecent()) {
       reply(caller, CallerAnswer.of(Verdict.UNKNOWN_JOB));
     } else {
       // Another member may have stored the job since the journal was last read.
@@ -509,6 +513,12 @@
     }
   }
 
+  private boolean isJournalReadRecent() {
+    return journalReadAt
+        .filter(readAt -> context.now().isBefore(readAt.plus(MAXIMUM_JOURNAL_AGE)))
+        .isPresent();
+  }
+
   private void onJournalRead(Instant sentAt) {
     if (journalReadAt.filter(sentAt::isBefore).isEmpty()) {
       journalReadAt = Optional.of(sentAt);
@@ -526,6 +536,7 @@
       if (found.isEmpty()) {
         jobs.add(
             journalRecovery.toStoredJob(accepted.definition(), journalReadAt.orElse(Instant.MIN)));
+        admission.recordStoredElsewhere(accepted.job());
         context.logDecision("accepted elsewhere", accepted.job(), Map.of());
       } else if (!found.get().acceptanceStored()) {
         confirmAcceptance(found.get());
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -28,6 +28,7 @@
 import org.hyssopport.engine.placement.StepOrder;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.quota.FairShareOrder;
+import org.hyssopport.engine.quota.OrganisationSharing;
 import org.hyssopport.engine.scheduler.WorkerAvailability.CircuitLimit;
 import org.hyssopport.engine.scheduler.WorkerAvailability.EligibleWorkers;
 import org.hyssopport.engine.worker.TrackedWorker;
@@ -71,6 +72,7 @@
   /** Since when no worker could take a task of a step that waits. */
   private final Map<StepId, Instant> unplacedSince = new HashMap<>();
 
+  private final StartLimit startLimit = new StartLimit();
   private Instant lastPassAt = Instant.MIN;
   private long lastCallNumber;
 
@@ -80,16 +82,15 @@
       TrackedWorkerRegistry workers,
       RunManager runManager,
       AdviceDispatcher adviceDispatcher,
-      HeldSteps heldSteps,
-      FairShareOrder shareOrder) {
+      OrganisationSharing sharing) {
     this.context = context;
     this.jobs = jobs;
     this.workers = workers;
     this.runManager = runManager;
     this.adviceDispatcher = adviceDispatcher;
     availability = new WorkerAvailability(context, workers);
-    this.heldSteps = heldSteps;
-    this.shareOrder = shareOrder;
+    heldSteps = new HeldSteps(context, sharing.limits());
+    shareOrder = sharing.shareOrder();
   }
 
   /** Returns when the next placement pass is due, if one was requested. */
@@ -119,11 +120,24 @@
     }
     availability.beginPass();
     ready.sort(StepOrder.at(context.now()));
+    startLimit.beginPass(workers.all());
     for (Step step : shareOrder.arrange(ready, availability::room, context.now())) {
+      if (startLimit.isReached()) {
+        return;
+      }
       placeStep(step);
     }
   }
 
+  /** Limits how many starts may be on their way, or removes the limit. */
+  void limitStarts(Optional<Integer> most) {
+    startLimit.set(most);
+    context.logDecision(
+        most.isPresent() ? "starts limited" : "starts no longer limited",
+        "",
+        most.<Map<String, Object>>map(limit -> Map.of("most", limit)).orElse(Map.of()));
+  }
+
   private void releaseObsoleteReservations(List<Step> ready) {
     if (reservations.isEmpty()) {
       return;
@@ -173,11 +187,10 @@
     int gangRunNumber = step.nextRunNumber();
     for (int index = 0; index < chosen.size(); index++) {
       TrackedWorker worker = workers.find(chosen.get(index)).orElseThrow();
-      Optional<String> ticketText =
-          validTicket(stepAdvice, worker, ticketsValidAt).map(Ticket::text);
+      Optional<Ticket> ticket = validTicket(stepAdvice, worker, ticketsValidAt);
       Task task = waiting.get(index);
       int runNumber = step.definition().gang() ? gangRunNumber : task.lastRunNumber() + 1;
-      runManager.assignRun(step, task, runNumber, worker, ticketText);
+      runManager.assignRun(step, task, runNumber, worker, ticket);
     }
     if (chosen.isEmpty()) {
       unplacedSince.putIfAbsent(step.id(), context.now());
@@ -185,6 +198,7 @@
       unplacedSince.remove(step.id());
       reservations.release(step.id());
       logPlacement(step, chosen);
+      startLimit.recordPlaced(chosen.size());
     }
     if (policy.isPresent() && chosen.size() < waiting.size()) {
       requestAdvice(step, waiting.size() - chosen.size(), stepAdvice, policy.get());
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ElectionPolicy.java
@@ -4,15 +4,16 @@
 import java.time.Instant;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Decides whether a member is a candidate in the election of the scheduler, begins a term, and
  * hands over leadership.
  *
- * <p>Optimised for a cell of unequal instances: a scheduler of some 250 workers needs more
- * processor time than the smallest instances have. Members with enough processor time are always
- * candidates; the others become candidates only after a scheduler has been silent for longer than a
- * capable member takes to replace one. All members serve callers, whether they are candidates or
+ * <p>Optimised for a cell of unequal instances: a scheduler of some 250 workers needs more than the
+ * smallest instances have, as {@link SchedulerRank} says. Suited members are always candidates; the
+ * others become candidates, by rank, only after a scheduler has been silent for longer than a
+ * suited member takes to replace one. All members serve callers, whether they are candidates or
  * not.
  */
 final class ElectionPolicy {
@@ -20,22 +21,23 @@
   /** After three lost heartbeats, the scheduler is no longer considered alive. */
   static final Duration SCHEDULER_TIMEOUT = Duration.ofMillis(700);
 
+  /** How long a suited member takes to replace a scheduler whose loss is known. */
+  static final Duration USUAL_TAKE_OVER_TIME = Duration.ofMillis(1500);
+
   /**
-   * The highest processor use of a scheduler with 250 workers and 440 starts a second, in cores.
+   * The least time between two hand-overs by a member, which gets leadership back if no better
+   * ranked one takes over.
    */
-  static final double REQUIRED_PROCESSORS = 0.7;
-
-  /** How long a capable member takes to replace a scheduler whose loss is known. */
-  static final Duration USUAL_TAKE_OVER_TIME = Duration.ofMillis(1500);
+  static final Duration MINIMUM_HAND_OVER_INTERVAL = Duration.ofSeconds(10);
 
-  /** Twice the time that a capable member takes to replace a scheduler that died. */
-  static final Duration FALLBACK_CANDIDACY_DELAY = Duration.ofSeconds(3);
+  /** Twice the time that a suited member takes to replace a scheduler. */
+  static final Duration HAND_OVER_CANDIDACY_DELAY = Duration.ofSeconds(3);
 
   /**
-   * The least time between two hand-overs by a member without enough processors, which gets
-   * leadership back if no capable member takes over.
+   * The least time between two hand-overs by schedulers of the cell that can't keep up. If the next
+   * one can't either, the load is too high for all, and each hand-over costs a second of it.
    */
-  static final Duration MINIMUM_HAND_OVER_INTERVAL = Duration.ofSeconds(10);
+  static final Duration MINIMUM_CONGESTION_HAND_OVER_INTERVAL = Duration.ofSeconds(60);
 
   /**
    * How long after the store's return a scheduler may take to report that it reaches the store: a
@@ -52,28 +54,30 @@
    */
   private static final Duration JOIN_INTERVAL_WITHOUT_SCHEDULER = Duration.ofMillis(100);
 
-  private final boolean hasRequiredProcessors;
+  private final SchedulerRank rank;
   private final Instant startedAt;
   private Instant earliestNextHandOver = Instant.MIN;
+  private Instant candidateAgainFrom = Instant.MIN;
+  private volatile Instant earliestNextCongestionHandOver = Instant.MIN;
 
-  private ElectionPolicy(boolean hasRequiredProcessors, Instant startedAt) {
-    this.hasRequiredProcessors = hasRequiredProcessors;
+  private ElectionPolicy(SchedulerRank rank, Instant startedAt) {
+    this.rank = rank;
     this.startedAt = startedAt;
   }
 
   /**
    * Returns the policy of a member.
    *
-   * @param processors how many cores the member may use
+   * @param rank how well it suits a scheduler
    * @param startedAt when it started, by the local monotonic clock
    */
-  static ElectionPolicy of(double processors, Instant startedAt) {
-    return new ElectionPolicy(processors >= REQUIRED_PROCESSORS, startedAt);
+  static ElectionPolicy of(SchedulerRank rank, Instant startedAt) {
+    return new ElectionPolicy(rank, startedAt);
   }
 
-  /** Returns whether this member has the processors that a scheduler needs. */
-  boolean hasRequiredProcessors() {
-    return hasRequiredProcessors;
+  /** Returns how well this member suits a scheduler. */
+  SchedulerRank rank() {
+    return rank;
   }
 
   /**
@@ -82,15 +86,18 @@
    * @param now the current time by the local monotonic clock
    * @param schedulerSeenAt when the last heartbeat of a scheduler arrived
    * @param storeRegainedAt when the store last became available to this member; until then, no
-   *     capable member could replace the scheduler
+   *     suited member could replace the scheduler
    * @param leading whether this member is the scheduler
    */
   boolean isCandidate(
       Instant now, Instant schedulerSeenAt, Instant storeRegainedAt, boolean leading) {
     Instant replaceableSince = latest(startedAt, schedulerSeenAt, storeRegainedAt);
-    return hasRequiredProcessors
-        || leading
-        || !now.isBefore(replaceableSince.plus(FALLBACK_CANDIDACY_DELAY));
+    if (leading) {
+      return true;
+    }
+    return !now.isBefore(candidateAgainFrom)
+        && (rank == SchedulerRank.SUITED
+            || !now.isBefore(replaceableSince.plus(rank.candidacyDelay())));
   }
 
   private static Instant latest(Instant... instants) {
@@ -148,16 +155,90 @@
     /** It has not answered since this member started. */
     NOT_ANSWERED,
     /** It has answered since this member started, as a scheduler or as one that no longer leads. */
-    ANSWERED
+    ANSWERED;
+
+    static LastSchedulerContact of(boolean named, boolean answered) {
+      if (!named) {
+        return NONE;
+      }
+      return answered ? ANSWERED : NOT_ANSWERED;
+    }
   }
 
-  /** Returns whether this member, as the scheduler, hands over to a better suited member now. */
-  boolean shouldHandOver(Instant now) {
-    return !hasRequiredProcessors && !now.isBefore(earliestNextHandOver);
+  /** Why a scheduler hands over. */
+  enum HandOverReason {
+    /** A better ranked member is available. */
+    BETTER_RANK("a better ranked member is available"),
+    /** It can't keep up, and a member that ranks as well might. */
+    CONGESTED("can't keep up with the load");
+
+    private final String text;
+
+    HandOverReason(String text) {
+      this.text = text;
+    }
+
+    /** Returns the reason as the log states it. */
+    String text() {
+      return text;
+    }
+  }
+
+  /**
+   * Returns why this member, as the scheduler, hands over now, or empty if it does not.
+   *
+   * @param now the current time by the local monotonic clock
+   * @param bestSuccessor the best rank among the other members that reach the store
+   * @param termBegunAt when the term of this member began
+   * @param congested whether its queues show that it can't keep up
+   */
+  Optional<HandOverReason> handOverReason(
+      Instant now, Optional<SchedulerRank> bestSuccessor, Instant termBegunAt, boolean congested) {
+    if (shouldHandOver(now, bestSuccessor)) {
+      return Optional.of(HandOverReason.BETTER_RANK);
+    }
+    return congested && shouldHandOverCongestion(now, bestSuccessor, termBegunAt)
+        ? Optional.of(HandOverReason.CONGESTED)
+        : Optional.empty();
   }
 
-  /** Records that leadership was handed over. */
-  void recordHandOver(Instant now) {
+  /**
+   * Returns whether this member, as the scheduler, hands over to a better ranked member now.
+   *
+   * @param now the current time by the local monotonic clock
+   * @param bestSuccessor the best rank among the other members that reach the store
+   */
+  boolean shouldHandOver(Instant now, Optional<SchedulerRank> bestSuccessor) {
+    return bestSuccessor.filter(other -> other.isBetterThan(rank)).isPresent()
+        && !now.isBefore(earliestNextHandOver);
+  }
+
+  /**
+   * Returns whether this member, as a scheduler that can't keep up, hands over to a member that
+   * ranks as well or better now.
+   *
+   * @param now the current time by the local monotonic clock
+   * @param bestSuccessor the best rank among the other members that reach the store
+   * @param termBegunAt when the term of this member began
+   */
+  boolean shouldHandOverCongestion(
+      Instant now, Optional<SchedulerRank> bestSuccessor, Instant termBegunAt) {
+    return bestSuccessor.filter(other -> other.isAtLeast(rank)).isPresent()
+        && !now.isBefore(termBegunAt.plus(MINIMUM_HAND_OVER_INTERVAL))
+        && !now.isBefore(earliestNextCongestionHandOver);
+  }
+
+  /** Records that this member hands over leadership, and leaves the next term to others. */
+  void recordHandOver(Instant now, HandOverReason reason) {
+    if (reason == HandOverReason.CONGESTED) {
+      recordCongestionHandOver(now);
+    }
     earliestNextHandOver = now.plus(MINIMUM_HAND_OVER_INTERVAL);
+    candidateAgainFrom = now.plus(HAND_OVER_CANDIDACY_DELAY);
+  }
+
+  /** Records that a scheduler, this member or another one, handed over since it can't keep up. */
+  void recordCongestionHandOver(Instant now) {
+    earliestNextCongestionHandOver = now.plus(MINIMUM_CONGESTION_HAND_OVER_INTERVAL);
   }
 }
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ForwardingRequestHandler.java
@@ -17,6 +17,7 @@
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.platform.JobRequestHandler;
 import org.hyssopport.platform.StoreFailure;
+import org.hyssopport.platform.UnauthenticatedCall;
 
 /**
  * Forwards the requests of callers to the scheduler, and answers them from the store if no
@@ -67,6 +68,7 @@
   private final SchedulerClient scheduler;
   private final JobStateCache jobStates;
   private final MemberAppends appends;
+  private final UnauthenticatedCallLog unauthenticatedCalls;
   private final long numbersBegin = wallClockNanos();
   private final AtomicLong lastRequestNumber = new AtomicLong(numbersBegin);
   private final AtomicInteger inFlight = new AtomicInteger();
@@ -82,6 +84,7 @@
     this.scheduler = scheduler;
     this.jobStates = new JobStateCache(context);
     this.appends = new MemberAppends(context);
+    this.unauthenticatedCalls = new UnauthenticatedCallLog(context);
   }
 
   private static long wallClockNanos() {
@@ -122,6 +125,12 @@
     return configurationFollower.current();
   }
 
+  @Override
+  public void recordUnauthenticated(UnauthenticatedCall call) {
+    long version = configuration().map(CellConfiguration::version).orElse(0L);
+    unauthenticatedCalls.record(call, version);
+  }
+
   @Override
   public boolean ready() {
     return !leaving && configurationFollower.current().isPresent() && scheduler.hasRecentContact();
@@ -420,12 +429,40 @@
           openRequest, new JournalEntry.Accepted(submit.definition()), Verdict.ACCEPTED, answerBy);
     }
     if (request instanceof CallerRequest.Cancel cancel) {
+      JobOpenness openness = opennessOf(cancel);
+      if (openness != JobOpenness.OPEN) {
+        return openness == JobOpenness.CLOSED
+            ? Optional.of(CallerAnswer.of(Verdict.UNKNOWN_JOB))
+            : Optional.empty();
+      }
       return appendWithoutScheduler(
           openRequest, new JournalEntry.Cancelled(cancel.job()), Verdict.CANCELLED, answerBy);
     }
     return Optional.of(showStored(request));
   }
 
+  /** Whether a job is open to a caller who cancels it. */
+  private enum JobOpenness {
+    OPEN,
+    CLOSED,
+    NOT_KNOWN
+  }
+
+  /**
+   * Looks the owner of a job up. A cancellation of another organisation's job must not reach the
+   * journal, which does not hold who cancels.
+   */
+  private JobOpenness opennessOf(CallerRequest.Cancel cancel) {
+    if (cancel.caller().isEmpty()) {
+      return JobOpenness.OPEN;
+    }
+    return switch (jobStates.lookUp(cancel.job()).status()) {
+      case UNREACHABLE, UNREADABLE -> JobOpenness.NOT_KNOWN;
+      case KNOWN, ABSENT ->
+          jobStates.isOpenTo(cancel.job(), cancel.caller()) ? JobOpenness.OPEN : JobOpenness.CLOSED;
+    };
+  }
+
   private CallerAnswer showStored(CallerRequest request) {
     JobStateCache.JobLookup lookup = jobStates.lookUp(request.job());
     context
@@ -436,7 +473,10 @@
             Map.of(
                 "knowledge", lookup.status(), "state", lookup.state().map(Enum::name).orElse("")));
     return switch (lookup.status()) {
-      case KNOWN -> CallerAnswer.state(lookup.state().orElseThrow());
+      case KNOWN ->
+          jobStates.isOpenTo(request.job(), request.caller())
+              ? CallerAnswer.state(lookup.state().orElseThrow())
+              : CallerAnswer.of(Verdict.UNKNOWN_JOB);
       case ABSENT -> CallerAnswer.of(Verdict.UNKNOWN_JOB);
       case UNREACHABLE, UNREADABLE -> CallerAnswer.withRetryAfter(Verdict.UNAVAILABLE, RETRY_AFTER);
     };
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -85,7 +85,6 @@
   private volatile Optional<String> newestTermLeader = Optional.empty();
   private volatile long newestEndedTerm;
   private volatile boolean lastSchedulerAnswered;
-  private volatile Instant storeAnsweredAt = Instant.MIN;
   private volatile Optional<PendingJobs> reportedPendingJobs = Optional.empty();
   private volatile Set<String> memberAddresses = Set.of();
   private volatile Optional<CellConfiguration> configuration = Optional.empty();
@@ -94,16 +93,15 @@
   private final ElectionPolicy policy;
   private final LiveWorkerCache liveWorkers;
   private final NotTakenRequests notTakenRequests;
+  private final Successors successors = new Successors();
+  private final StoreContact storeContact;
 
   /** Orders the announcement of a term and its hand-over, also if the member leaves meanwhile. */
   private final Object leadershipLock = new Object();
 
   private volatile boolean leaving;
-  private volatile boolean betterSuitedMemberSeen;
   private boolean joined;
   private long generation;
-  private volatile boolean storeAvailable = true;
-  private volatile Instant storeRegainedAt = Instant.MIN;
 
   SchedulerElection(
       MemberContext context,
@@ -115,9 +113,10 @@
     this.selfAddress = context.settings().peerAddress();
     this.startedAt = context.clock().instant().truncatedTo(ChronoUnit.MILLIS);
     this.notLeadingSince = startedAt;
+    this.storeContact = new StoreContact(context);
     this.notTakenRequests = new NotTakenRequests(context);
     this.liveWorkers = new LiveWorkerCache(context.store(), context.log(), context.clock());
-    this.policy = ElectionPolicy.of(context.settings().processors(), startedAt);
+    this.policy = ElectionPolicy.of(SchedulerRank.of(context.settings()), startedAt);
   }
 
   private Optional<SchedulerTerm> activeTerm() {
@@ -164,7 +163,7 @@
   public boolean hasRecentContact() {
     return activeTerm().isPresent()
         || schedulerSeenWithin(READINESS_TIMEOUT)
-        || context.clock().instant().isBefore(storeAnsweredAt.plus(READINESS_TIMEOUT));
+        || storeContact.answeredWithin(READINESS_TIMEOUT);
   }
 
   @Override
@@ -185,7 +184,7 @@
 
   @Override
   public boolean storeAvailable() {
-    return storeAvailable;
+    return storeContact.available();
   }
 
   private boolean schedulerSeenWithin(Duration span) {
@@ -200,9 +199,9 @@
     } else if (message instanceof MemberMessage.MemberHeartbeat memberHeartbeat
         && term.isPresent()) {
       term.get().onMemberHeartbeat(sender, memberHeartbeat.leaving());
-      betterSuitedMemberSeen |= memberHeartbeat.betterSuited();
-      boolean reachesStore = term.get().storeAnsweredWithin(STORE_TIMEOUT);
       Instant now = context.clock().instant();
+      successors.record(sender, SchedulerRank.statedIn(memberHeartbeat), now);
+      boolean reachesStore = term.get().storeAnsweredWithin(STORE_TIMEOUT);
       transport.send(
           sender,
           new MemberMessage.LeaderHeartbeat(
@@ -211,10 +210,14 @@
               term.get()
                   .pendingJobs()
                   .map(counts -> counts.toMessage(memberHeartbeat.sentAtMillis(), now)),
-              term.get().liveMembers()));
+              term.get().liveMembers(),
+              ConfigurationExchange.statedVersion(configuration)));
     } else if (message instanceof MemberMessage.MemberHeartbeat) {
-      transport.send(sender, new MemberMessage.NotLeading(newestTerm));
+      transport.send(sender, new MemberMessage.NotLeading(newestTerm, false));
     } else if (message instanceof MemberMessage.NotLeading notLeading) {
+      if (notLeading.congested()) {
+        policy.recordCongestionHandOver(context.clock().instant());
+      }
       onNotLeading(sender, notLeading.term());
     } else if (message instanceof MemberMessage.ForwardedRequest forwarded) {
       receiveRequest(sender, forwarded);
@@ -308,12 +311,13 @@
   }
 
   private ElectionPolicy.LastSchedulerContact lastContact() {
-    if (schedulerAddress.isEmpty()) {
-      return ElectionPolicy.LastSchedulerContact.NONE;
-    }
-    return lastSchedulerAnswered
-        ? ElectionPolicy.LastSchedulerContact.ANSWERED
-        : ElectionPolicy.LastSchedulerContact.NOT_ANSWERED;
+    return ElectionPolicy.LastSchedulerContact.of(
+        schedulerAddress.isPresent(), lastSchedulerAnswered);
+  }
+
+  /** Returns how long a queue of this member's term is behind, if it is the scheduler. */
+  Optional<Integer> backlogMillis(CongestionDetector.Backlog backlog) {
+    return activeTerm().flatMap(term -> term.backlogs().ageMillis(backlog));
   }
 
   /** Returns the number of active jobs if this member is the scheduler and knows it. */
@@ -329,7 +333,8 @@
     Threads.runRound("membership", this::findScheduler);
     while (!leaving) {
       Threads.runRound("membership", this::keepMembership);
-      Duration interval = ElectionPolicy.joinInterval(schedulerSeenRecently(), storeAvailable);
+      Duration interval =
+          ElectionPolicy.joinInterval(schedulerSeenRecently(), storeContact.available());
       if (!Threads.pause(interval.toMillis())) {
         return;
       }
@@ -352,22 +357,31 @@
 
   private boolean isCandidate() {
     return policy.isCandidate(
-        context.clock().instant(), schedulerSeenAt, storeRegainedAt, activeTerm().isPresent());
+        context.clock().instant(),
+        schedulerSeenAt,
+        storeContact.regainedAt(),
+        activeTerm().isPresent());
   }
 
-  /** Hands over leadership if a better suited member has sent a heartbeat. */
+  /** Hands over leadership if the policy has a reason to. */
   private void handOverIfDue() {
     Instant now = context.clock().instant();
-    Optional<SchedulerTerm> term = activeTerm();
-    if (term.isEmpty()) {
-      betterSuitedMemberSeen = false;
-    } else if (betterSuitedMemberSeen && policy.shouldHandOver(now)) {
-      policy.recordHandOver(now);
-      // Delays the next candidacy of this member, so that the other one can take over.
-      schedulerSeenAt = now;
-      handOver(term.get(), "a better suited member is available");
-      leaveGroup();
-    }
+    Optional<SchedulerRank> best = successors.bestRank(now);
+    activeTerm()
+        .ifPresent(
+            term ->
+                policy
+                    .handOverReason(now, best, term.begunAt(), term.backlogs().callForHandOver())
+                    .ifPresent(reason -> handOverToOther(term, now, reason)));
+  }
+
+  private void handOverToOther(
+      SchedulerTerm term, Instant now, ElectionPolicy.HandOverReason reason) {
+    policy.recordHandOver(now, reason);
+    // Delays the next candidacy of this member, so that the other one can take over.
+    schedulerSeenAt = now;
+    handOver(term, reason.text(), reason == ElectionPolicy.HandOverReason.CONGESTED);
+    leaveGroup();
   }
 
   private void leaveGroup() {
@@ -402,7 +416,7 @@
       return;
     }
     if (!isCandidate()) {
-      // The call was the first one to reach the store again; capable members get their chance.
+      // The call was the first one to reach the store again; suited members get their chance.
       leaveGroup();
       return;
     }
@@ -424,29 +438,12 @@
     ElectionPolicy.SchedulerContact contact =
         new ElectionPolicy.SchedulerContact(
             schedulerSeenAt, schedulerLeads, schedulerReachedStore, lastContact());
-    return policy.mayBeginTerm(context.clock().instant(), contact, storeRegainedAt);
+    return policy.mayBeginTerm(context.clock().instant(), contact, storeContact.regainedAt());
   }
 
   /** Records whether the store has answered a call of this member. */
-  synchronized void recordStoreAvailability(Either<StoreFailure, ?> result) {
-    if (result.isRight()) {
-      storeAnsweredAt = context.clock().instant();
-    }
-    if (result.isRight() != storeAvailable) {
-      storeAvailable = result.isRight();
-      if (storeAvailable) {
-        storeRegainedAt = storeAnsweredAt;
-      }
-      context
-          .log()
-          .write(
-              storeAvailable ? "dependency regained" : "dependency lost",
-              Map.of(
-                  "dependency",
-                  "store",
-                  "detail",
-                  result.isLeft() ? result.getLeft().detail() : ""));
-    }
+  void recordStoreAvailability(Either<StoreFailure, ?> result) {
+    storeContact.record(result);
   }
 
   private void beginTerm() {
@@ -465,7 +462,7 @@
       schedulerLeads = false;
       announceTerm(term);
       if (leaving) {
-        handOver(term, LEAVING);
+        handOver(term, LEAVING, false);
       }
     }
     newSchedulerListener.run();
@@ -498,12 +495,12 @@
    * Ends this member's term and tells the other members, so that they send it no more requests and
    * the owner of the partition begins the next term at once.
    */
-  private void handOver(SchedulerTerm term, String reason) {
+  private void handOver(SchedulerTerm term, String reason, boolean congested) {
     term.end(reason);
     notLeadingSince = context.clock().instant();
     for (String member : term.liveMembers()) {
       if (!member.equals(selfAddress)) {
-        transport.send(member, new MemberMessage.NotLeading(term.term()));
+        transport.send(member, new MemberMessage.NotLeading(term.term(), congested));
       }
     }
   }
@@ -521,11 +518,17 @@
     notTakenListener = listener;
   }
 
+  /** Returns the members that the last scheduler listed. */
+  Set<String> memberAddresses() {
+    return memberAddresses;
+  }
+
   /**
    * Keeps the live list known while this member may become the scheduler; a term reads it itself.
    */
   void runLiveList() {
-    while (policy.hasRequiredProcessors() && Threads.pause(STANDBY_LIVE_LIST_INTERVAL_MILLIS)) {
+    while (policy.rank() == SchedulerRank.SUITED
+        && Threads.pause(STANDBY_LIVE_LIST_INTERVAL_MILLIS)) {
       if (activeTerm().isEmpty()) {
         Threads.runRound("live-list", liveWorkers::refresh);
       }
@@ -557,12 +560,14 @@
   }
 
   private MemberMessage.MemberHeartbeat heartbeat() {
-    boolean betterSuited = policy.hasRequiredProcessors() && storeAvailable && !leaving;
+    boolean mayLead = storeContact.available() && !leaving;
     return new MemberMessage.MemberHeartbeat(
         context.settings().failureDomain(),
         leaving,
-        betterSuited,
-        context.clock().instant().toEpochMilli());
+        mayLead && policy.rank() == SchedulerRank.SUITED,
+        mayLead ? Optional.of(policy.rank().number()) : Optional.empty(),
+        context.clock().instant().toEpochMilli(),
+        ConfigurationExchange.statedVersion(configuration));
   }
 
   private void readSchedulerAddress() {
@@ -584,7 +589,7 @@
     leaving = true;
     sendHeartbeat();
     synchronized (leadershipLock) {
-      activeTerm().ifPresent(term -> handOver(term, LEAVING));
+      activeTerm().ifPresent(term -> handOver(term, LEAVING, false));
     }
     leaveGroup();
   }
