--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -18,8 +18,7 @@
 import org.hyssopport.engine.job.JobState;
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.platform.WorkerId;
-import org.hyssopport.engine.quota.OrganisationLimits;
-import org.hyssopport.engine.quota.UsageLedger;
+import org.hyssopport.engine.quota.OrganisationSharing;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerDescription;
@@ -49,9 +48,8 @@
 
   private final SchedulerContext context;
   private final JobRegistry jobs = new JobRegistry();
-  private final UsageLedger usage = UsageLedger.empty();
-  private final OrganisationLimits limits = OrganisationLimits.withoutConfiguration(usage);
-  private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry(usage);
+  private final OrganisationSharing sharing = OrganisationSharing.create();
+  private final TrackedWorkerRegistry workers = new TrackedWorkerRegistry(sharing.usage());
   private final JournalQueue journal = new JournalQueue();
   private final AdviceDispatcher adviceDispatcher = AdviceDispatcher.create();
   private final JournalRecovery journalRecovery;
@@ -98,13 +96,13 @@
     context = new SchedulerContext(settings);
     unknownJobCancellations = new UnknownJobCancellations(settings.retention());
     journalRecovery = new JournalRecovery(context, jobs, workers);
-    retention = new JobRetention(context, jobs, journal, usage);
+    retention = new JobRetention(context, jobs, journal, sharing.usage());
     access = new JobAccess(context, jobs);
-    runManager = new RunManager(context, jobs, workers, journal, limits);
+    runManager = new RunManager(context, jobs, workers, journal, sharing.limits());
     incarnations = new WorkerIncarnations(context, jobs, workers, runManager);
-    placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher, limits);
+    placement = new PlacementManager(context, jobs, workers, runManager, adviceDispatcher, sharing);
     poller = new WorkerPoller(context, workers, runManager, incarnations);
-    admission = new AdmissionManager(context, jobs, workers, limits);
+    admission = new AdmissionManager(context, jobs, workers, sharing.limits());
   }
 
   /** Returns a scheduler that has not read the journal yet. */
@@ -199,7 +197,7 @@
       adviceDispatcher.setMembers(changed.members());
     } else if (event instanceof SchedulerEvent.ConfigurationChanged changed) {
       context.applyConfiguration(changed.configuration());
-      context.configuration().ifPresent(limits::applyConfiguration);
+      context.configuration().ifPresent(sharing.limits()::applyConfiguration);
     } else if (event instanceof SchedulerEvent.Ticked) {
       tick();
     } else {
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/PlacementManager.java
@@ -27,7 +27,8 @@
 import org.hyssopport.engine.placement.Placer;
 import org.hyssopport.engine.placement.StepOrder;
 import org.hyssopport.engine.platform.WorkerId;
-import org.hyssopport.engine.quota.OrganisationLimits;
+import org.hyssopport.engine.quota.FairShareOrder;
+import org.hyssopport.engine.quota.OrganisationSharing;
 import org.hyssopport.engine.scheduler.WorkerAvailability.CircuitLimit;
 import org.hyssopport.engine.scheduler.WorkerAvailability.EligibleWorkers;
 import org.hyssopport.engine.worker.TrackedWorker;
@@ -62,6 +63,7 @@
   private final AdviceDispatcher adviceDispatcher;
   private final WorkerAvailability availability;
   private final HeldSteps heldSteps;
+  private final FairShareOrder shareOrder;
   private final Map<StepId, StepAdvice> adviceByStep = new HashMap<>();
   private final GangReservations reservations = new GangReservations();
   private final Map<String, GoodWorkerShareEstimate> goodShareByQueue = new HashMap<>();
@@ -80,14 +82,15 @@
       TrackedWorkerRegistry workers,
       RunManager runManager,
       AdviceDispatcher adviceDispatcher,
-      OrganisationLimits limits) {
+      OrganisationSharing sharing) {
     this.context = context;
     this.jobs = jobs;
     this.workers = workers;
     this.runManager = runManager;
     this.adviceDispatcher = adviceDispatcher;
     availability = new WorkerAvailability(context, workers);
-    heldSteps = new HeldSteps(context, limits);
+    heldSteps = new HeldSteps(context, sharing.limits());
+    shareOrder = sharing.shareOrder();
   }
 
   /** Returns when the next placement pass is due, if one was requested. */
@@ -118,7 +121,7 @@
     availability.beginPass();
     ready.sort(StepOrder.at(context.now()));
     startLimit.beginPass(workers.all());
-    for (Step step : ready) {
+    for (Step step : shareOrder.arrange(ready, availability::room, context.now())) {
       if (startLimit.isReached()) {
         return;
       }
@@ -309,7 +312,12 @@
 
   private void requestAdvice(Step step, int tasks, StepAdvice stepAdvice, AdvicePolicy policy) {
     Instant notBefore = nextAdviceRequestAt.getOrDefault(step.id(), Instant.MIN);
-    if (adviceDispatcher.isPending(step.id()) || context.now().isBefore(notBefore)) {
+    // Calls for advice bind as much as room does, and what is beyond a share takes what is left.
+    boolean waitsForOthers =
+        shareOrder.isBeyondShare(step.id()) && adviceDispatcher.hasWaitingCalls();
+    if (waitsForOthers
+        || adviceDispatcher.isPending(step.id())
+        || context.now().isBefore(notBefore)) {
       return;
     }
     List<WorkerId> selected = selectWorkersForAdvice(step, tasks, stepAdvice, policy);
