Replay load at its crest, with callers that give up and organisations

Load: a picking service's rates, sizes and policies with bursts that overlap; callers ask for 3 s and at most five times; declared run times are far off. Refusals are checked for being true: no refused job is known to the scheduler later.

--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/SchedulerHost.java
@@ -86,6 +86,9 @@
         new SchedulerEvent.Recovered(
             journal.entries(), workers.describeLiveWorkers(), workers.describeLapsedWorkers()));
     handle(new SchedulerEvent.JournalRead(time.now()));
+    simulation
+        .configuration()
+        .ifPresent(current -> handle(new SchedulerEvent.ConfigurationChanged(current)));
     Set<String> names = new HashSet<>();
     for (int number = 0; number < memberCount; number++) {
       names.add("member-" + number);
--- a/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
+++ b/hyssopport-testkit/src/main/java/org/hyssopport/testkit/world/Simulation.java
@@ -12,7 +12,9 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntToDoubleFunction;
+import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.engine.job.AdvicePolicy;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.JobId;
@@ -20,6 +22,7 @@
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.job.QueuePolicy;
 import org.hyssopport.engine.job.StepDefinition;
+import org.hyssopport.engine.organisation.OrganisationId;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
@@ -60,7 +63,11 @@
   private final Set<JobId> cancelledJobs = new HashSet<>();
   private final Set<JobId> jobsWithCancellation = new HashSet<>();
   private final Map<Long, CallerRequest> openRequests = new HashMap<>();
+  private final Map<Long, Consumer<CallerAnswer>> refusalListeners = new HashMap<>();
+  private final Set<JobId> refusedJobs = new HashSet<>();
+  private int refusalCount;
   private Optional<SchedulerHost> host = Optional.empty();
+  private Optional<CellConfiguration> configuration = Optional.empty();
   private boolean adviceAnswered = true;
   private final List<String> decisions = new ArrayList<>();
   private long lastTerm;
@@ -164,6 +171,16 @@
     return goodWorkerShare.applyAsDouble(priority);
   }
 
+  /** Puts a configuration in force, for this scheduler and later ones. */
+  public void configure(CellConfiguration newer) {
+    configuration = Optional.of(newer);
+    host.ifPresent(current -> current.handle(new SchedulerEvent.ConfigurationChanged(newer)));
+  }
+
+  Optional<CellConfiguration> configuration() {
+    return configuration;
+  }
+
   /** Advances the virtual clock and runs every action that becomes due. */
   public void advance(Duration span) {
     time.advance(span);
@@ -203,6 +220,73 @@
     return job.id();
   }
 
+  /**
+   * Submits a job whose caller returns after a refusal as it is told to, if its time and its
+   * attempts allow that.
+   *
+   * @param queue the policy of its queue
+   * @param steps its steps
+   * @param organisation the organisation of its caller
+   * @param timeLimit how long the caller asks for the acceptance
+   * @param attempts how often the caller asks at most
+   * @return the id of the job
+   */
+  public JobId submitWithin(
+      QueuePolicy queue,
+      List<StepDefinition> steps,
+      OrganisationId organisation,
+      Duration timeLimit,
+      int attempts) {
+    JobDefinition job = define(queue, steps, Optional.of(organisation));
+    attempt(new LimitedCaller(job, time.now().plus(timeLimit)), attempts);
+    return job.id();
+  }
+
+  /** A caller that gives up at some time. */
+  private record LimitedCaller(JobDefinition job, Instant deadline) {}
+
+  private void attempt(LimitedCaller caller, int attemptsLeft) {
+    lastNumber++;
+    long number = lastNumber;
+    CallerRequest request = new CallerRequest.Submit(caller.job());
+    refusalListeners.put(number, answer -> returnAfter(answer, caller, attemptsLeft - 1));
+    if (host.isPresent() && !host.get().hasEnded()) {
+      openRequests.put(number, request);
+      host.get()
+          .handle(
+              new SchedulerEvent.CallerRequestReceived(
+                  new CallerRequestId("member-0", number), request));
+    }
+  }
+
+  /** Lets a refused caller return, at the latest after an equal part of the time that it has. */
+  private void returnAfter(CallerAnswer refusal, LimitedCaller caller, int attemptsLeft) {
+    refusalCount++;
+    Duration left = Duration.between(time.now(), caller.deadline());
+    if (attemptsLeft < 1 || left.isNegative()) {
+      refusedJobs.add(caller.job().id());
+      return;
+    }
+    Duration told = refusal.retryAfter().orElse(Duration.ZERO);
+    Duration part = left.dividedBy(attemptsLeft + 1L);
+    time.after(told.compareTo(part) < 0 ? told : part, () -> attempt(caller, attemptsLeft));
+  }
+
+  /** Returns whether all attempts to submit a job were refused. */
+  public boolean isRefused(JobId id) {
+    return refusedJobs.contains(id);
+  }
+
+  /** Returns the jobs that a scheduler knows although all attempts to submit them were refused. */
+  public List<JobId> falselyRefused() {
+    return refusedJobs.stream().filter(lastState::containsKey).toList();
+  }
+
+  /** Returns how many attempts to submit jobs were refused. */
+  public int refusalCount() {
+    return refusalCount;
+  }
+
   /** Submits a job to a member that stores it in the journal without a scheduler. */
   public JobId submitWithoutScheduler(QueuePolicy queue, List<StepDefinition> steps) {
     JobDefinition job = define(queue, steps);
@@ -240,19 +324,16 @@
   }
 
   private JobDefinition define(QueuePolicy queue, List<StepDefinition> steps) {
+    return define(queue, steps, Optional.empty());
+  }
+
+  private JobDefinition define(
+      QueuePolicy queue, List<StepDefinition> steps, Optional<OrganisationId> organisation) {
     lastNumber++;
     JobId id = new JobId(String.format("%016x", lastNumber));
     JobDefinition job =
         new JobDefinition(
-            id,
-            queue,
-            "payload",
-            steps,
-            0,
-            Instant.EPOCH,
-            Duration.ZERO,
-            time.now(),
-            Optional.empty());
+            id, queue, "payload", steps, 0, Instant.EPOCH, Duration.ZERO, time.now(), organisation);
     submitted.put(id, job);
     workers.runChecker().recordSubmission(id, steps, queue.attempts());
     queue.advice().ifPresent(advice -> workers.tickets().requireFor(id));
@@ -296,9 +377,13 @@
         });
   }
 
-  /** Requests the state of every accepted job from the current scheduler, if there is one. */
+  /**
+   * Requests the state of every accepted or refused job from the current scheduler, if there is
+   * one.
+   */
   public void requestJobStates() {
     acceptedAt.keySet().forEach(id -> sendRequest(CallerRequest.Show.withoutOrganisation(id)));
+    refusedJobs.forEach(id -> sendRequest(CallerRequest.Show.withoutOrganisation(id)));
   }
 
   private void sendRequest(CallerRequest request) {
@@ -331,6 +416,11 @@
       return;
     }
     JobId id = request.job();
+    Optional<Consumer<CallerAnswer>> refusalListener =
+        Optional.ofNullable(refusalListeners.remove(caller.number()));
+    if (answer.verdict().isRefusal()) {
+      refusalListener.ifPresent(listener -> listener.accept(answer));
+    }
     if (answer.verdict() == Verdict.ACCEPTED) {
       acceptedAt.putIfAbsent(id, time.now());
       visibleFrom.putIfAbsent(id, time.now());
