--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/AdmissionManager.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/AdmissionManager.java
@@ -27,6 +27,9 @@
   /** Some samples fall into the shortest time that a job is allowed, which is some 400 ms. */
   private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(200);
 
+  /** Some lines for each burst of load. */
+  private static final Duration LOG_INTERVAL = Duration.ofSeconds(1);
+
   /**
    * How long after the beginning of a term nothing is refused: what members have stored without a
    * scheduler before may not be known yet, and the workers have not all reported.
@@ -56,6 +59,7 @@
   private static final class ServiceLoad {
     private final DepartureRate departures = DepartureRate.unknown();
     private Optional<Instant> sampledAt = Optional.empty();
+    private Instant nextLogAt = Instant.MIN;
     private double waitingWork;
     private double waitingProcessors;
     private double admittedWork;
@@ -115,7 +119,29 @@
       }
     }
     loadByService.forEach(
-        (service, load) -> recordDepartures(load, expectedByService.getOrDefault(service, 0.0)));
+        (service, load) -> {
+          recordDepartures(load, expectedByService.getOrDefault(service, 0.0));
+          logLoadIfDue(service, load);
+        });
+  }
+
+  private void logLoadIfDue(String service, ServiceLoad load) {
+    if (!load.isFull() || context.now().isBefore(load.nextLogAt)) {
+      return;
+    }
+    load.nextLogAt = context.now().plus(LOG_INTERVAL);
+    double workPerSecond = load.workPerSecond(context.now());
+    long waitMillis = workPerSecond <= 0 ? -1 : (long) (load.waitingWork / workPerSecond * 1000);
+    context.logDecision(
+        "load",
+        service,
+        Map.of(
+            "waitingWork", Math.round(load.waitingWork),
+            "waitingProcessors", Math.round(load.waitingProcessors),
+            "processors", Math.round(load.processors),
+            "freeProcessors", Math.round(load.freeProcessors),
+            "workPerSecond", Math.round(workPerSecond),
+            "waitMillis", waitMillis));
   }
 
   private void recordDepartures(ServiceLoad load, double expected) {
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
@@ -25,6 +25,12 @@
   private final Counter decisions =
       registry.counter(
           "hyssopport_cell_decisions", "Decisions of the scheduler by kind.", "decision");
+  private final Counter admissions =
+      registry.counter(
+          "hyssopport_cell_admissions",
+          "Decisions of the scheduler on new jobs by queue and decision.",
+          "queue",
+          "decision");
   private final Counter orders =
       registry.counter(
           "hyssopport_cell_orders", "Orders to workers by kind and result.", "order", "result");
@@ -108,6 +114,11 @@
     decisions.labelValues(decision).inc();
   }
 
+  /** Counts the decision on a new job. */
+  void countAdmission(String queue, String decision) {
+    admissions.labelValues(queue, decision).inc();
+  }
+
   void recordOrder(String order, String result, double seconds) {
     orders.labelValues(order, result).inc();
     orderSeconds.observe(seconds);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -472,6 +472,10 @@
       end(stepDown.reason());
     } else if (effect instanceof SchedulerEffect.LogDecision decided) {
       context.metrics().countDecision(decided.decision());
+      // Only decisions on new jobs state the queue.
+      Optional.ofNullable(decided.inputs().get("queue"))
+          .ifPresent(
+              queue -> context.metrics().countAdmission(queue.toString(), decided.decision()));
       context.log().write(decided.decision(), decided.subject(), decided.inputs());
     }
   }
