Pass configurations on only on cells with organisations

Cause: a member without any configuration asked a member that it had been told of, which answered on cells without organisations, too. Measured: ConfigurationExchangeTests 14 of 14.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationExchange.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/ConfigurationExchange.java
@@ -124,6 +124,7 @@
   private void answer(String sender, MemberMessage.ConfigurationRequest request) {
     follower
         .record()
+        .filter(record -> statedVersion(follower.current()).isPresent())
         .filter(record -> record.version() > request.heldVersion())
         .ifPresent(record -> transport.send(sender, copyOf(record)));
   }
