Tell the members that an ended term was announced to of its hand-over

If that took over a second, a member that was leaving handed over to nobody, and the others waited for the scheduler's timeout.

Change: the time begins once the term is about to be announced.

--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -7,12 +7,10 @@
 import java.time.Instant;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
@@ -61,9 +59,6 @@
   /** A quarter of the time within which a drain must be noticed. */
   private static final long LIVE_LIST_INTERVAL_MILLIS = 500;
 
-  /** After five lost heartbeats, a member gets no more calls for advice. */
-  private static final Duration MEMBER_TIMEOUT = Duration.ofSeconds(1);
-
   /**
    * Subtracted from the validity of a ticket, which begins before the answer with the ticket
    * arrives here.
@@ -89,12 +84,8 @@
   private final StartThrottle startThrottle = new StartThrottle();
   private Optional<Integer> startLimit = Optional.empty();
   private final Instant begunAt;
-  private final Map<String, Instant> memberLastSeen = new ConcurrentHashMap<>();
-  private final Set<String> leavingMembers = ConcurrentHashMap.newKeySet();
+  private final TermMembers members;
   private final List<Thread> threads = new CopyOnWriteArrayList<>();
-  private final Set<String> inheritedMembers;
-  private final Instant inheritedMembersUntil;
-  private volatile Set<String> liveMembers = Set.of();
   private Set<String> advisingMembers = Set.of();
   private volatile boolean ended;
   private volatile Optional<PendingJobs> pendingJobs = Optional.empty();
@@ -124,9 +115,8 @@
       MemberTransport transport,
       BiConsumer<Long, CallerAnswer> localAnswerSink) {
     this.context = context;
-    this.inheritedMembers = inheritedMembers;
-    this.inheritedMembersUntil = context.clock().instant().plus(MEMBER_TIMEOUT);
     this.selfAddress = context.settings().peerAddress();
+    this.members = new TermMembers(selfAddress, inheritedMembers);
     this.term = term;
     this.transport = transport;
     this.localAnswerSink = localAnswerSink;
@@ -201,6 +191,7 @@
             liveWorkers.workers(),
             liveWorkers.lapsed()));
     enqueue(new SchedulerEvent.JournalRead(sentAt));
+    members.begin(context.clock().instant());
     startThread("scheduler", this::runUntilEnded);
     startThread("journal-writer", journalWriter::run);
     startThread("journal-follower", this::followJournal);
@@ -292,12 +283,7 @@
 
   /** Records that a member has sent a heartbeat; a leaving one gets no more calls for advice. */
   void onMemberHeartbeat(String member, boolean leaving) {
-    if (leaving) {
-      leavingMembers.add(member);
-    } else {
-      leavingMembers.remove(member);
-    }
-    memberLastSeen.put(member, context.clock().instant());
+    members.recordHeartbeat(member, leaving, context.clock().instant());
   }
 
   /** Queues the answer to a call for advice; drops it if another term made the call. */
@@ -338,19 +324,9 @@
     return workers.stream().map(WorkerDescription::id).collect(Collectors.toSet());
   }
 
-  /**
-   * Returns the addresses of the members with recent heartbeats, and of this one. Members that are
-   * leaving still answer callers, so they are included. Until all members have had the time to send
-   * a heartbeat, those that the last scheduler listed are included, too.
-   */
+  /** Returns the addresses of the members that the scheduler considers live, its own included. */
   Set<String> liveMembers() {
-    if (!context.clock().instant().isBefore(inheritedMembersUntil)) {
-      return liveMembers;
-    }
-    Set<String> members = new HashSet<>(inheritedMembers);
-    members.addAll(liveMembers);
-    members.add(selfAddress);
-    return members;
+    return members.live(context.clock().instant());
   }
 
   /** Returns how many jobs have not ended, or empty before the first tick. */
@@ -471,13 +447,7 @@
                         .journalReadAt()
                         .map(readAt -> new PendingJobs(term, byQueue, readAt)));
     activeJobs = Optional.of(scheduler.activeJobs());
-    Instant silentBefore = context.clock().instant().minus(MEMBER_TIMEOUT);
-    memberLastSeen.values().removeIf(silentBefore::isAfter);
-    leavingMembers.retainAll(memberLastSeen.keySet());
-    Set<String> currentMembers = new HashSet<>(memberLastSeen.keySet());
-    currentMembers.add(selfAddress);
-    liveMembers = Set.copyOf(currentMembers);
-    currentMembers.removeAll(leavingMembers);
+    Set<String> currentMembers = members.update(context.clock().instant());
     if (!currentMembers.equals(advisingMembers)) {
       advisingMembers = currentMembers;
       context
