--- a/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/TermMembersTests.java
+++ b/hyssopport-launcher/src/test/java/org/hyssopport/launcher/cell/TermMembersTests.java
@@ -27,7 +27,7 @@
   // A member that took over a second to read the journal handed over to nobody.
   @ParameterizedTest
   @CsvSource({"0, true", "999, true", "1000, false"})
-  void membersOfTheLastTermAreLiveUntilTheyHadTimeForAHeartbeat(
+  void membersOfTheLastTermAreLiveUntilTheyHadTimeForHeartbeats(
       long millisSinceAnnounced, boolean expected) {
     Set<String> live = members.live(ANNOUNCED.plusMillis(millisSinceAnnounced));
     assertEquals(expected, live.contains(INHERITED));
