Show what each organisation uses, may use and is due

Load: an organisation whose jobs wait, and an operator who asks whether its limit or its share is the cause. Cause: only a counter and one log line for each held step told of limits. Change: two gauges, stated by the scheduler and renewed each second: processors used and allowed, and the part of the room that an organisation is due when the cell is full. Keys are in neither.

--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/quota/OrganisationLimits.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/quota/OrganisationLimits.java
@@ -1,8 +1,10 @@
 package org.hyssopport.engine.quota;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.engine.job.JobDefinition;
 import org.hyssopport.engine.job.StepDefinition;
@@ -61,6 +63,16 @@
     return configuration.map(CellConfiguration::version);
   }
 
+  /** Returns the organisations of the configuration in force. */
+  public Set<OrganisationId> organisations() {
+    return Collections.unmodifiableSet(weights.keySet());
+  }
+
+  /** Returns the sum of the weights of these organisations. */
+  double totalWeight() {
+    return weights.values().stream().mapToLong(Long::longValue).sum();
+  }
+
   /** Returns whether the configuration in force states organisations. */
   public boolean hasOrganisations() {
     return !weights.isEmpty();
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/quota/OrganisationSharing.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/quota/OrganisationSharing.java
@@ -1,5 +1,8 @@
 package org.hyssopport.engine.quota;
 
+import java.util.List;
+import java.util.Optional;
+
 /**
  * What a scheduler needs to let organisations share a cell.
  *
@@ -17,4 +20,18 @@
     OrganisationLimits limits = OrganisationLimits.withoutConfiguration(usage);
     return new OrganisationSharing(usage, limits, FairShareOrder.of(limits, usage));
   }
+
+  /** Returns what each organisation uses and may use; empty on a cell without organisations. */
+  public List<OrganisationUsage> describe() {
+    double allWeights = limits.totalWeight();
+    return limits.organisations().stream()
+        .map(
+            id ->
+                new OrganisationUsage(
+                    id,
+                    usage.attributedTo(id),
+                    limits.limitOf(id),
+                    limits.weightOf(Optional.of(id)) / allWeights))
+        .toList();
+  }
 }
--- a/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
+++ b/hyssopport-engine/src/main/java/org/hyssopport/engine/scheduler/CellScheduler.java
@@ -19,6 +19,7 @@
 import org.hyssopport.engine.job.JournalEntry;
 import org.hyssopport.engine.platform.WorkerId;
 import org.hyssopport.engine.quota.OrganisationSharing;
+import org.hyssopport.engine.quota.OrganisationUsage;
 import org.hyssopport.engine.scheduler.CallerAnswer.Verdict;
 import org.hyssopport.engine.worker.TrackedWorker;
 import org.hyssopport.engine.worker.WorkerDescription;
@@ -168,6 +169,11 @@
     return journalReadAt;
   }
 
+  /** Returns what each organisation uses and may use. */
+  public List<OrganisationUsage> organisationUsage() {
+    return sharing.describe();
+  }
+
   /** Returns how many jobs have not ended. */
   public int activeJobs() {
     return jobs.active().size();
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/MetricRegistry.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/MetricRegistry.java
@@ -8,6 +8,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -65,6 +67,21 @@
         .register(registry);
   }
 
+  /** Registers a gauge with labels, whose values by labels are read at each scrape. */
+  public void gaugeByLabels(
+      String name, String help, List<String> labels, Supplier<Map<List<String>, Double>> values) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .labelNames(labels.toArray(String[]::new))
+        .callback(
+            callback ->
+                values
+                    .get()
+                    .forEach((each, value) -> callback.call(value, each.toArray(String[]::new))))
+        .register(registry);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public byte[] text() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMember.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -115,6 +116,10 @@
             fault -> context.log().write("peer link fault", Map.of("detail", fault)));
     registerGauges();
     registerBacklogGauges();
+    context
+        .metrics()
+        .registerOrganisations(
+            () -> election.activeTerm().map(SchedulerTerm::organisationUsage).orElse(List.of()));
     Threads.start("configuration", configurationFollower);
     Threads.start("membership", election::runMembership);
     Threads.start("presence", election::runHeartbeats);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/CellMetrics.java
@@ -6,11 +6,13 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.hyssopport.engine.quota.OrganisationUsage;
 import org.hyssopport.launcher.MetricRegistry;
 
 /** The metrics of one member, and the server that exposes them. */
@@ -100,6 +102,11 @@
     registry.gaugeIfKnown(name, help, value);
   }
 
+  /** Registers the metrics of organisations, whose values are read at each scrape. */
+  void registerOrganisations(Supplier<List<OrganisationUsage>> usage) {
+    OrganisationMetrics.register(registry, usage);
+  }
+
   void recordAnswer(String request, String verdict, double seconds) {
     answers.labelValues(request, verdict).inc();
     answerSeconds.observe(seconds);
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerElection.java
@@ -119,7 +119,7 @@
     this.policy = ElectionPolicy.of(SchedulerRank.of(context.settings()), startedAt);
   }
 
-  private Optional<SchedulerTerm> activeTerm() {
+  Optional<SchedulerTerm> activeTerm() {
     return ownTerm.filter(term -> !term.ended());
   }
 
--- a/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
+++ b/hyssopport-launcher/src/main/java/org/hyssopport/launcher/cell/SchedulerTerm.java
@@ -18,6 +18,7 @@
 import org.hyssopport.engine.advice.Ticket;
 import org.hyssopport.engine.configuration.CellConfiguration;
 import org.hyssopport.engine.platform.WorkerId;
+import org.hyssopport.engine.quota.OrganisationUsage;
 import org.hyssopport.engine.scheduler.CallerAnswer;
 import org.hyssopport.engine.scheduler.CallerRequest;
 import org.hyssopport.engine.scheduler.CallerRequestId;
@@ -56,6 +57,9 @@
   /** Other members append entries only while they can't reach a scheduler, which is rare. */
   private static final long JOURNAL_READ_INTERVAL_MILLIS = 250;
 
+  /** Metrics are scraped every few seconds. */
+  private static final Duration USAGE_INTERVAL = Duration.ofSeconds(1);
+
   /** A quarter of the time within which a drain must be noticed. */
   private static final long LIVE_LIST_INTERVAL_MILLIS = 500;
 
@@ -90,6 +94,8 @@
   private volatile boolean ended;
   private volatile Optional<PendingJobs> pendingJobs = Optional.empty();
   private volatile Optional<Integer> activeJobs = Optional.empty();
+  private volatile List<OrganisationUsage> organisationUsage = List.of();
+  private Instant usageDueAt = Instant.MIN;
   private volatile Instant storeAnsweredAt;
 
   /** Whether the queued requests are being returned; guarded by the lock. */
@@ -329,6 +335,11 @@
     return members.live(context.clock().instant());
   }
 
+  /** Returns what each organisation uses and may use, as of the last second. */
+  List<OrganisationUsage> organisationUsage() {
+    return organisationUsage;
+  }
+
   /** Returns how many jobs have not ended, or empty before the first tick. */
   Optional<Integer> activeJobs() {
     return activeJobs;
@@ -447,6 +458,10 @@
                         .journalReadAt()
                         .map(readAt -> new PendingJobs(term, byQueue, readAt)));
     activeJobs = Optional.of(scheduler.activeJobs());
+    if (!context.clock().instant().isBefore(usageDueAt)) {
+      usageDueAt = context.clock().instant().plus(USAGE_INTERVAL);
+      organisationUsage = scheduler.organisationUsage();
+    }
     Set<String> currentMembers = members.update(context.clock().instant());
     if (!currentMembers.equals(advisingMembers)) {
       advisingMembers = currentMembers;
