--- a/review/standins-3/Cell.java
+++ b/review/standins-3/Cell.java
@@ -65,17 +65,22 @@
 
   /** Writes the configuration: one queue, with advice if decideMs is at least 0. */
   void configure(int version, int decideMs) {
+    configure(version, decideMs, "svc");
+  }
+
+  /** The same, with the service whose workers run the tasks of the queue. */
+  void configure(int version, int decideMs, String service) {
     ObjectNode node = Worker.MAPPER.createObjectNode().put("version", version);
     ObjectNode route = node.putArray("routes").addObject();
-    route.put("name", "jobs").put("host", HOST).put("prefix", PREFIX).put("service", "svc");
+    route.put("name", "jobs").put("host", HOST).put("prefix", PREFIX).put("service", service);
     route.put("priority", 1).put("attempts", 4).put("stretch", 2.0).put("sloMs", 1000);
     if (decideMs >= 0) {
       route.putObject("advice").put("decideMs", decideMs).put("eachMs", 0.1).put("validMs", 1500);
     }
-    node.putArray("services").addObject().put("name", "svc").put("admissionCheck", false);
+    node.putArray("services").addObject().put("name", service).put("admissionCheck", false);
     node.putObject("limits").put("maxBodyBytes", 262_144);
     store.put("keyed.op", "config", node.toString());
-    recorder.write("operator: configuration %d", version);
+    recorder.write("operator: configuration %d, the queue is run by %s", version, service);
   }
 
   Member addMember(int number, String advice) throws IOException {
--- a/review/standins-3/Worker.java
+++ b/review/standins-3/Worker.java
@@ -42,6 +42,7 @@
   private int port;
   private String announced;
   private String kind = "a";
+  private String service = "svc";
   private int cpu;
   private long bornMillis;
   private long lifeNanos;
@@ -117,8 +118,9 @@
     nextBeat = 0;
   }
 
-  synchronized void setKind(String newKind) {
-    kind = newKind;
+  synchronized void setService(String newService) {
+    service = newService;
+    nextBeat = 0;
   }
 
   private long clock() {
@@ -166,7 +168,7 @@
   private synchronized void beat() {
     sequence++;
     ObjectNode node = MAPPER.createObjectNode();
-    node.put("service", "svc").put("addr", announced).put("zone", zone).put("version", "1");
+    node.put("service", service).put("addr", announced).put("zone", zone).put("version", "1");
     node.put("slots", 8).put("state", state).put("seq", sequence).put("born", bornMillis);
     node.putObject("capacity").put("cpu", cpu).put("memMb", 262_144);
     node.putArray("labels").add(kind).add("r-" + zone);
